--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -6,6 +6,7 @@
 mod explained;
 mod leaving;
 mod path;
+mod pipelining;
 mod recovery;
 mod relays;
 mod rolls;
