Reads sent ahead on a connection start at once; the end of a connection is seen whatever was sent ahead

Cause: hyper's server hands over one request of a connection at a time, and looks whether the connection has ended only while no byte of a further request is unread. Ruled out: a server of our own (a parser to keep right); a library that serves a connection's requests side by side (hyper, hyper-util and xitca-web's server don't). Change: a stream between socket and hyper that gives hyper one request at a time. While it is answered the stream reads on, frames what follows with httparse, starts reads of routes that may repeat (8 a connection, none behind an order), and passes the end of the connection on at once. Framing, order and close stay hyper's; whatever two readers could understand differently passes as it comes. A request's time counts from when it came. A stopping daemon doesn't close a connection on which such reads run. A property test writes 250 random streams, hostile forms included, with pauses anywhere: the same requests run and the same answers go out with and without look-ahead. Its first two forms were wrong and are told in the test: answers that a reset takes away, and hyper's 400 that comes later where the end of a bad head is missing.

--- a/crates/yuccarackd/src/coordination/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/entry/mod.rs
@@ -8,7 +8,6 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -37,7 +36,10 @@
         counters::Counters,
         directory::{Directory, DirectoryError, ServiceView},
     },
-    transport::{call_server::CallHandler, upstream::Upstream},
+    transport::{
+        call_server::{Arrival, CallHandler},
+        upstream::Upstream,
+    },
 };
 
 /// Time for reading a body and finding the service while the route's deadline isn't known yet.
@@ -78,12 +80,14 @@
 }
 
 impl CallHandler for Entry {
+    const TAKES_PIPELINES: bool = true;
+
     async fn handle(
         self: Arc<Self>,
-        peer: SocketAddr,
+        arrival: Arrival,
         request: Request<CallBody>,
     ) -> Response<CallBody> {
-        let now = Instant::now();
+        let Arrival { peer, came_at: now } = arrival;
         self.parts.counters.add("entry.calls");
         let (parts, body) = request.into_parts();
         let head = match CallHead::read(&parts, peer.ip(), now, &mut rand::rng()) {
--- a/crates/yuccarackd/src/coordination/gate/door.rs
+++ b/crates/yuccarackd/src/coordination/gate/door.rs
@@ -1,6 +1,6 @@
 //! The gate's door for requests of other daemons.
 
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::sync::Arc;
 
 use http::{Request, Response};
 use rand::Rng;
@@ -12,7 +12,7 @@
         call::CallHead,
         refusal::{Reason, Refusal},
     },
-    transport::call_server::CallHandler,
+    transport::call_server::{Arrival, CallHandler},
 };
 
 /// Reads what other daemons send and passes it to the gate.
@@ -30,10 +30,10 @@
 impl CallHandler for GateDoor {
     async fn handle(
         self: Arc<Self>,
-        peer: SocketAddr,
+        arrival: Arrival,
         request: Request<CallBody>,
     ) -> Response<CallBody> {
-        let now = Instant::now();
+        let Arrival { peer, came_at: now } = arrival;
         let (parts, body) = request.into_parts();
         let head = CallHead::read(&parts, peer.ip(), now, &mut rand::rng());
         let Ok(head) = head else {
--- a/crates/yuccarackd/src/coordination/routed/control_door.rs
+++ b/crates/yuccarackd/src/coordination/routed/control_door.rs
@@ -1,7 +1,6 @@
 //! Answers the target and the platform: signs of life, readiness.
 
 use std::{
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant, SystemTime, SystemTimeError},
 };
@@ -30,7 +29,7 @@
             target::{Heard, RoutedTarget},
         },
     },
-    transport::call_server::CallHandler,
+    transport::call_server::{Arrival, CallHandler},
 };
 
 /// Longest body that is read; a heartbeat has some 300 bytes.
@@ -56,7 +55,7 @@
 impl CallHandler for ControlDoor {
     async fn handle(
         self: Arc<Self>,
-        _peer: SocketAddr,
+        _arrival: Arrival,
         request: Request<CallBody>,
     ) -> Response<CallBody> {
         let (parts, body) = request.into_parts();
--- a/crates/yuccarackd/src/coordination/routed/entry/head.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/head.rs
@@ -58,7 +58,8 @@
     is_time.then(|| Duration::from_secs_f64(ms / 1_000.0).min(LEFT_MAX))
 }
 
-fn host(parts: &Parts) -> Option<String> {
+/// The host that a request names, without the port.
+pub fn host(parts: &Parts) -> Option<String> {
     if let Some(host) = parts.uri.host() {
         return Some(host.to_owned());
     }
--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -52,7 +52,10 @@
             routing_state::RoutingState,
         },
     },
-    transport::{call_server::CallHandler, upstream::Upstream},
+    transport::{
+        call_server::{Arrival, CallHandler},
+        upstream::Upstream,
+    },
 };
 
 /// Largest body that is kept to be sent again; the callers' orders have some 4 kB.
@@ -103,12 +106,26 @@
 }
 
 impl CallHandler for RoutedEntry {
+    const TAKES_PIPELINES: bool = true;
+
+    /// Only what may run twice: its caller sends it again when an answer before it closes the
+    /// connection. None while this daemon leaves, which closes connections.
+    fn may_start_early(&self, head: &Parts) -> bool {
+        if self.parts.leaving.is_cancelled() {
+            return false;
+        }
+        let (Some(host), Some(routing)) = (head::host(head), self.parts.routing.current()) else {
+            return false;
+        };
+        routing.route(&host, head.uri.path()).is_some_and(|(_, route)| route.is_repeatable)
+    }
+
     async fn handle(
         self: Arc<Self>,
-        peer: SocketAddr,
+        arrival: Arrival,
         request: Request<CallBody>,
     ) -> Response<CallBody> {
-        let came_at = Instant::now();
+        let Arrival { peer, came_at } = arrival;
         self.parts.counters.add("entry.calls");
         let (parts, body) = request.into_parts();
         let mut story = Story::new(came_at, peer);
--- a/crates/yuccarackd/src/coordination/routed/gate/door.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/door.rs
@@ -1,6 +1,6 @@
 //! Where other daemons reach the gate: routed requests and questions for news.
 
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::{sync::Arc, time::Instant};
 
 use http::{HeaderValue, Request, Response, header, request::Parts};
 
@@ -13,7 +13,7 @@
         peer_news::{CRASHED, NEWS},
         refusal::{Reason, Refusal},
     },
-    transport::call_server::CallHandler,
+    transport::call_server::{Arrival, CallHandler},
 };
 
 /// Largest body that is read before its request is offered to the target.
@@ -45,7 +45,7 @@
 impl CallHandler for GateDoor {
     async fn handle(
         self: Arc<Self>,
-        _peer: SocketAddr,
+        _arrival: Arrival,
         request: Request<CallBody>,
     ) -> Response<CallBody> {
         if let Some(question) = request.headers().get(NEWS) {
--- a/crates/yuccarackd/src/coordination/routed/metrics_door.rs
+++ b/crates/yuccarackd/src/coordination/routed/metrics_door.rs
@@ -1,6 +1,6 @@
 //! Where metrics are read.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 
@@ -8,7 +8,7 @@
 use crate::{
     protocol::body::{self, CallBody},
     state::routed::metrics::Metrics,
-    transport::call_server::CallHandler,
+    transport::call_server::{Arrival, CallHandler},
 };
 
 /// Path of the metrics.
@@ -28,7 +28,7 @@
 impl CallHandler for MetricsDoor {
     async fn handle(
         self: Arc<Self>,
-        _peer: SocketAddr,
+        _arrival: Arrival,
         request: Request<CallBody>,
     ) -> Response<CallBody> {
         if request.method() != Method::GET || request.uri().path() != PATH {
--- a/crates/yuccarackd/src/transport/call_server.rs
+++ b/crates/yuccarackd/src/transport/call_server.rs
@@ -1,18 +1,27 @@
 //! Takes calls over HTTP/1.1 and drops a call whose caller hangs up.
 
-use std::{future::Future, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    net::SocketAddr,
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures_util::FutureExt;
-use http::{Request, Response};
+use http::{Method, Request, Response, header, request::Parts};
+use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{
-    protocol::body::CallBody, state::counters::Counters, transport::drained_body::DrainedBody,
+use super::{
+    drained_body::DrainedBody,
+    pipelining::{EarlyCalls, Pipeline, PipelinedStream, Turn},
 };
+use crate::{protocol::body::CallBody, state::counters::Counters};
 
 /// Longest wait for a whole request head; a caller that trickles it must not hold a connection.
 ///
@@ -30,12 +39,30 @@
 /// can't tell whether it ran. A way takes some 3 ms at most; the rest is for a starved processor.
 const LINGER: Duration = Duration::from_millis(100);
 
+/// Whom a call comes from, and since when it waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// The caller's address.
+    pub peer: SocketAddr,
+    /// When its head had come, though others on its connection went first.
+    pub came_at: Instant,
+}
+
 /// What answers calls.
 pub trait CallHandler: Send + Sync + 'static {
-    /// Answers one call of `peer`; dropped when the caller hangs up.
+    /// Whether callers send requests before their earlier ones are answered.
+    const TAKES_PIPELINES: bool = false;
+
+    /// Whether the read with this head may run before its turn on its connection, though an answer
+    /// before it may close that and its caller then sends it again.
+    fn may_start_early(&self, _head: &Parts) -> bool {
+        false
+    }
+
+    /// Answers one call; dropped when the caller hangs up.
     fn handle(
         self: Arc<Self>,
-        peer: SocketAddr,
+        arrival: Arrival,
         request: Request<CallBody>,
     ) -> impl Future<Output = Response<CallBody>> + Send;
 }
@@ -121,15 +148,21 @@
     ) {
         // An answer must not wait for the caller's acknowledgement of the one before.
         let _ = stream.set_nodelay(true);
-        let service = service_fn(move |request: Request<Incoming>| {
-            let handler = Arc::clone(&handler);
-            let tracker = tracker.clone();
-            let request = request.map(|body| DrainedBody::new(body, tracker).boxed_unsync());
-            async move {
-                let answer = handler.handle(peer, request).await;
-                Ok::<_, std::convert::Infallible>(answer)
-            }
-        });
+        let pipeline = Arc::new(Pipeline::new());
+        let service = {
+            let (handler, pipeline) = (Arc::clone(&handler), Arc::clone(&pipeline));
+            let (tracker, counters) = (tracker.clone(), self.counters.clone());
+            service_fn(move |request: Request<Incoming>| {
+                let request =
+                    request.map(|body| DrainedBody::new(body, tracker.clone()).boxed_unsync());
+                let call = Call::new(&handler, &pipeline, &counters, request);
+                async move { Ok::<_, std::convert::Infallible>(call.answer(peer).await) }
+            })
+        };
+        let early_calls =
+            EarlyCalls::new(handler, peer, tracker, stop.clone(), Arc::clone(&pipeline));
+        let stream =
+            PipelinedStream::new(stream, self.head_max_bytes, Arc::clone(&pipeline), early_calls);
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
@@ -140,7 +173,7 @@
             ended = connection.as_mut() => ended,
             () = stop.cancelled() => tokio::select! {
                 ended = connection.as_mut() => ended,
-                () = tokio::time::sleep(LINGER) => {
+                () = lingered(&pipeline) => {
                     connection.as_mut().graceful_shutdown();
                     connection.await
                 }
@@ -165,3 +198,69 @@
         self.counters.add_reason(self.counter_group, reason);
     }
 }
+
+/// The time for which a stopping server's connection goes on: closed earlier, it would cut off reads
+/// that run already.
+async fn lingered(pipeline: &Pipeline) {
+    tokio::time::sleep(LINGER).await;
+    pipeline.until_none_early().await;
+}
+
+/// One call whose turn has come.
+struct Call<H> {
+    handler: Arc<H>,
+    pipeline: Arc<Pipeline>,
+    counters: Counters,
+    turn: Turn,
+    request: Request<CallBody>,
+}
+
+impl<H: CallHandler> Call<H> {
+    fn new(
+        handler: &Arc<H>,
+        pipeline: &Arc<Pipeline>,
+        counters: &Counters,
+        request: Request<CallBody>,
+    ) -> Self {
+        let (head, body) = request.into_parts();
+        let turn = pipeline.take_turn(is_read(handler.as_ref(), &head, &body));
+        Self {
+            handler: Arc::clone(handler),
+            pipeline: Arc::clone(pipeline),
+            counters: counters.clone(),
+            turn,
+            request: Request::from_parts(head, body),
+        }
+    }
+
+    async fn answer(self, peer: SocketAddr) -> Response<CallBody> {
+        let Self { handler, pipeline, counters, turn, request } = self;
+        let Turn { came_at, early, answering } = turn;
+        let (head, body) = request.into_parts();
+        let early = match early {
+            Some(early) if early.is_of(&head) => early.answer().await,
+            _ => None,
+        };
+        let mut answer = match early {
+            Some(answer) => {
+                counters.add("entry.started_early");
+                answer
+            }
+            None => {
+                let request = Request::from_parts(head, body);
+                handler.handle(Arrival { peer, came_at }, request).await
+            }
+        };
+        if pipeline.has_early() {
+            // The connection stays until what runs on it already is answered.
+            answer.headers_mut().remove(header::CONNECTION);
+        }
+        answer.map(|body| answering.until_sent(body).boxed_unsync())
+    }
+}
+
+/// Whether others may run beside this one, as HTTP allows for requests that only read.
+fn is_read<H: CallHandler>(handler: &H, head: &Parts, body: &CallBody) -> bool {
+    let only_reads = matches!(head.method, Method::GET | Method::HEAD);
+    H::TAKES_PIPELINES && only_reads && body.is_end_stream() && handler.may_start_early(head)
+}
--- a/crates/yuccarackd/src/transport/mod.rs
+++ b/crates/yuccarackd/src/transport/mod.rs
@@ -8,4 +8,5 @@
 pub mod drained_body;
 pub mod load_look;
 pub mod look;
+pub mod pipelining;
 pub mod upstream;
--- /dev/null
+++ b/crates/yuccarackd/src/transport/pipelining/framing.rs
@@ -0,0 +1,101 @@
+//! Where the next request of a connection ends.
+
+use http::{HeaderName, HeaderValue, Method, Request, Uri, request::Parts};
+use httparse::{Header, Status};
+
+/// Most headers of a head, as hyper's server takes them.
+const HEADERS_MAX: usize = 100;
+
+/// A request whose end is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Extent {
+    /// Bytes of its head, the blank line included.
+    pub head_bytes: usize,
+    /// Bytes of its body.
+    pub body_bytes: u64,
+}
+
+/// What the start of some bytes is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framed {
+    /// A head whose end has not come yet.
+    Partial,
+    /// A request.
+    Whole(Extent),
+    /// Something that may end otherwise than its head tells, or after which no request may follow.
+    Unclear,
+}
+
+/// Finds the end of the request that `bytes` begin with.
+///
+/// Whatever two readers could understand differently is unclear: two lengths, a length beside
+/// chunks, an older protocol, a change of protocol. Only the server itself decides on those.
+pub fn frame(bytes: &[u8]) -> Framed {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut head = httparse::Request::new(&mut headers);
+    match head.parse(bytes) {
+        Ok(Status::Complete(head_bytes)) => whole(&head, head_bytes),
+        Ok(Status::Partial) => Framed::Partial,
+        Err(_) => Framed::Unclear,
+    }
+}
+
+/// The head of a read without a body, for a head that [`frame`] found whole.
+pub fn read_head(bytes: &[u8]) -> Option<Parts> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut head = httparse::Request::new(&mut headers);
+    head.parse(bytes).ok()?;
+    let method = Method::from_bytes(head.method?.as_bytes()).ok()?;
+    if !matches!(method, Method::GET | Method::HEAD) {
+        return None;
+    }
+    let (mut parts, ()) = Request::new(()).into_parts();
+    parts.method = method;
+    parts.uri = Uri::try_from(head.path?).ok()?;
+    for header in head.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        parts.headers.append(name, HeaderValue::from_bytes(header.value).ok()?);
+    }
+    Some(parts)
+}
+
+fn whole(head: &httparse::Request<'_, '_>, head_bytes: usize) -> Framed {
+    if head.version != Some(1) || head.method == Some("CONNECT") {
+        return Framed::Unclear;
+    }
+    let mut length = None;
+    for header in head.headers.iter() {
+        match reading_of(header) {
+            HeaderReading::OfNoMatter => {}
+            HeaderReading::Length(bytes) if length.is_none() => length = Some(bytes),
+            HeaderReading::Length(_) | HeaderReading::Unclear => return Framed::Unclear,
+        }
+    }
+    Framed::Whole(Extent { head_bytes, body_bytes: length.unwrap_or(0) })
+}
+
+/// What a header says of a request's end.
+enum HeaderReading {
+    OfNoMatter,
+    Length(u64),
+    Unclear,
+}
+
+fn reading_of(header: &Header<'_>) -> HeaderReading {
+    let is = |name: &str| header.name.eq_ignore_ascii_case(name);
+    if is("transfer-encoding") || is("upgrade") || is("expect") {
+        return HeaderReading::Unclear;
+    }
+    if is("content-length") {
+        return length(header.value).map_or(HeaderReading::Unclear, HeaderReading::Length);
+    }
+    if is("connection") && !header.value.eq_ignore_ascii_case(b"keep-alive") {
+        return HeaderReading::Unclear;
+    }
+    HeaderReading::OfNoMatter
+}
+
+fn length(value: &[u8]) -> Option<u64> {
+    let is_number = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+    std::str::from_utf8(value).ok().filter(|_| is_number)?.parse().ok()
+}
