A word that isn't known no longer keeps the operators' document out

Cause: the new customer's documents hold a kind of route, `upload`. The adapter knew two kinds and refused the document as a whole, so that no daemon had routes and nothing was served. Ruled out: leaving such a route out: its requests would go by a shorter prefix's route, to another service. Change: a kind that isn't known runs at most once. Priority, time for full credit, name, path and connections of a service, and limits are substituted in a sense that does no harm, each with a log line (`routing_substituted`) and a counter. What decides where and for how long a request runs still keeps the document out. `upload` is a kind of its own; routing files of our own have `is_upload`, not beside `is_repeatable`.

--- a/crates/yuccarack_config/src/routing.rs
+++ b/crates/yuccarack_config/src/routing.rs
@@ -30,6 +30,9 @@
         pub path_prefix: String,
         /// Whether a request may run more than once.
         pub is_repeatable: bool,
+        /// Whether requests carry large bodies; a gate is asked for a slot before one is sent.
+        #[serde(default)]
+        pub is_upload: bool,
         /// Services that take the route's requests, each with its share.
         pub split: Vec<WeightedService>,
         /// Longest time for which a request may be kept waiting, in ms.
--- a/crates/yuccarack_config/src/routing_file/check.rs
+++ b/crates/yuccarack_config/src/routing_file/check.rs
@@ -36,6 +36,7 @@
     Field::required("host", Kind::ServiceName),
     Field::required("path_prefix", Kind::PathPrefix),
     Field::required("is_repeatable", Kind::Flag),
+    Field::defaulted("is_upload", Kind::Flag),
     Field::required("split", SPLIT),
     Field::required("wait_max_ms", Kind::number(1, WAIT_MAX_MS)),
     Field::required("on_time_ms", Kind::number(1, WAIT_MAX_MS)),
@@ -73,6 +74,7 @@
     for (index, route) in items(file, "routes").iter().enumerate() {
         let path = format!("routes[{index}]");
         check_prefix(route, &path, &mut faults);
+        check_upload(route, &path, &mut faults);
         check_split(file, route, &path, &mut faults);
         check_place(file, index, &mut faults);
     }
@@ -89,6 +91,16 @@
     }
 }
 
+/// A large body isn't kept to be sent again.
+fn check_upload(route: &Value, path: &str, faults: &mut Vec<Fault>) {
+    let is_set = |name: &str| route.get(name) == Some(&Value::Bool(true));
+    if is_set("is_upload") && is_set("is_repeatable") {
+        let accepted = "false beside is_upload".to_owned();
+        let kind = FaultKind::Value { found: "true".to_owned(), accepted };
+        faults.push(Fault::new(format!("{path}.is_repeatable"), kind));
+    }
+}
+
 /// Requests that are dealt to a service that isn't there would be refused for good.
 fn check_split(file: &Value, route: &Value, path: &str, faults: &mut Vec<Fault>) {
     let services = items(file, "services");
--- a/crates/yuccarackd/src/coordination/routed/follow.rs
+++ b/crates/yuccarackd/src/coordination/routed/follow.rs
@@ -5,14 +5,15 @@
 use parking_lot::Mutex;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
+use yuccarack_config::routing::RoutingVersion;
 use yuccarack_platform::feed::{FeedError, FeedRow};
-use yuccarack_platform_wire::routing;
+use yuccarack_platform_wire::routing::{self, Substitute};
 
 use super::{
     events::EventLog,
     lines::{
-        MemberChanged, MemberKeptOut, RoutingInForce, RoutingKeptOut, RoutingNotRead, StoreLost,
-        StoreRegained,
+        MemberChanged, MemberKeptOut, RoutingInForce, RoutingKeptOut, RoutingNotRead,
+        RoutingSubstituted, StoreLost, StoreRegained,
     },
     store_client::StoreClient,
 };
@@ -212,11 +213,12 @@
     fn take_routing(&self, row: FeedRow) {
         let Some(text) = row.value.filter(|_| row.key == routing::KEY) else { return };
         match routing::decode(&text) {
-            Ok(table) => {
-                let version = table.version;
-                if self.routing.offer(table) {
+            Ok(document) => {
+                let version = document.table.version;
+                if self.routing.offer(document.table) {
                     let (revision, from) = (Some(row.revision), "store".to_owned());
                     self.events.write(|| RoutingInForce { version, revision, from });
+                    self.note_substitutes(version, document.substitutes);
                 }
             }
             Err(error) => {
@@ -230,6 +232,14 @@
         }
     }
 
+    fn note_substitutes(&self, version: RoutingVersion, substitutes: Vec<Substitute>) {
+        for substitute in substitutes {
+            self.counters.add_many("routing.substituted", substitute.count as u64);
+            let Substitute { field, found, taken, count } = substitute;
+            self.events.write(|| RoutingSubstituted { version, field, found, taken, count });
+        }
+    }
+
     fn take_member(&self, row: FeedRow) {
         let Some(text) = row.value else {
             self.members.merge(&row.key, row.revision, None);
--- a/crates/yuccarackd/src/coordination/routed/lines/news.rs
+++ b/crates/yuccarackd/src/coordination/routed/lines/news.rs
@@ -58,6 +58,21 @@
         from: String,
     }
 
+    /// A field of the operators' document is missing or not understood, and was read in a safe sense.
+    RoutingSubstituted = "routing_substituted", "field of the operators' document substituted", Warning, None;
+    {
+        /// Version of the document.
+        version: RoutingVersion,
+        /// The field.
+        field: &'static str,
+        /// What was found first.
+        found: String,
+        /// What was taken instead.
+        taken: &'static str,
+        /// Entries with it.
+        count: usize,
+    }
+
     /// The operators' document could not be used.
     RoutingKeptOut = "routing_kept_out", "operators' document kept out", Warning, None;
     {
