A large body goes out when a gate has a slot for it; what a gate refuses is offered to the next

Cause: a body above 64 KiB is streamed and went with the first try, so a gate's "no slot" was the last word for it. Ruled out: keeping larger bodies (100 callers with 10 MB each), resending (nothing is sent twice). Change: a streamed body stays with its call until somebody reads it. Between daemons it is held back by `Expect: 100-continue` until the gate has admitted the request; refused, it is offered to the next gate. A body without a length is cut at the operators' limit.

--- a/crates/yuccarackd/src/coordination/routed/entry/call.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/call.rs
@@ -5,7 +5,8 @@
     time::{Duration, Instant},
 };
 
-use http::{HeaderMap, HeaderValue, Method, Request, Uri, request::Parts};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header, request::Parts};
+use hyper::ext::on_informational;
 use yuccarack_config::{
     ids::{AttemptId, ServiceName},
     routing::RoutingVersion,
@@ -18,6 +19,7 @@
         body::{CallBody, SendableBody},
         forwarding,
         hop::{HOP, Hop},
+        streamed_body::Wanted,
     },
 };
 
@@ -103,8 +105,26 @@
     }
 
     /// The request as another daemon gets it.
-    pub fn request(&mut self, hop: &Hop) -> Request<CallBody> {
-        let mut request = Request::new(self.body.take());
+    ///
+    /// A streamed body goes out when the gate has a slot for it and not before: refused, it is still
+    /// here for another gate, and none of its bytes were sent for nothing.
+    pub fn request(&self, hop: &Hop) -> Request<CallBody> {
+        let Some(body) = self.body.streamed() else {
+            return self.request_with(hop, self.body.take());
+        };
+        let wanted = Wanted::new();
+        let mut request = self.request_with(hop, body.offer_when(&wanted));
+        request.headers_mut().insert(header::EXPECT, HeaderValue::from_static("100-continue"));
+        on_informational(&mut request, move |answer| {
+            if answer.status() == StatusCode::CONTINUE {
+                wanted.set();
+            }
+        });
+        request
+    }
+
+    fn request_with(&self, hop: &Hop, body: CallBody) -> Request<CallBody> {
+        let mut request = Request::new(body);
         *request.method_mut() = self.parts.method.clone();
         *request.uri_mut() = self.parts.uri.clone();
         let map = request.headers_mut();
--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -42,7 +42,7 @@
 use crate::{
     coordination::entry::fate::Fate,
     protocol::{
-        body::{CallBody, SendableBody},
+        body::{CallBody, SendableBody, limited},
         refusal::{Reason, Refusal},
     },
     state::{
@@ -224,6 +224,10 @@
         let wait_by = came_at + Duration::from_millis(route.wait_max_ms.into());
         let by = head.deadline.map_or(wait_by, |deadline| deadline.min(wait_by));
         let deadline = CallDeadline::new(by.checked_sub(WAY_BACK).unwrap_or(by));
+        let body = match parts.headers.contains_key(header::CONTENT_LENGTH) {
+            true => body,
+            false => limited(body, routing.table().caller_limits.body_max_bytes),
+        };
         let reading = SendableBody::read(&parts, body, KEPT_MAX_BYTES);
         let body = match timeout_at(deadline.at().into(), reading).await {
             Ok(Ok(body)) => body,
--- a/crates/yuccarackd/src/protocol/body.rs
+++ b/crates/yuccarackd/src/protocol/body.rs
@@ -4,9 +4,13 @@
 use futures_util::{StreamExt, stream};
 use http::{header, request::Parts};
 use http_body::Frame;
-use http_body_util::{BodyExt, BodyStream, Empty, Full, StreamBody, combinators::UnsyncBoxBody};
+use http_body_util::{
+    BodyExt, BodyStream, Empty, Full, Limited, StreamBody, combinators::UnsyncBoxBody,
+};
 use thiserror::Error;
 
+use super::streamed_body::StreamedBody;
+
 /// A body of any origin; an error in it must reach the reader as a broken message.
 pub type CallBody = UnsyncBoxBody<Bytes, BodyError>;
 
@@ -19,6 +23,12 @@
     /// The call's deadline passed while the body was on its way.
     #[error("the deadline passed before the body's end")]
     DeadlinePassed,
+    /// More of it came than is allowed.
+    #[error("the body is longer than allowed")]
+    TooLong,
+    /// It was offered to another receiver, or taken by one.
+    #[error("the body is no longer offered here")]
+    Withdrawn,
 }
 
 /// A body with nothing in it.
@@ -31,6 +41,17 @@
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// `body`, which breaks off after `max_bytes`; for one that doesn't tell its length.
+pub fn limited(body: CallBody, max_bytes: u64) -> CallBody {
+    let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+    let own_error = |error: Box<dyn std::error::Error + Send + Sync>| match error.downcast() {
+        Ok(error) => *error,
+        // The limit's own error, since the body has none but ours.
+        Err(_) => BodyError::TooLong,
+    };
+    Limited::new(body, max_bytes).map_err(own_error).boxed_unsync()
+}
+
 /// The start of a body, and the rest of it if there is more.
 pub struct BodyStart {
     /// What has arrived.
@@ -75,8 +96,8 @@
 pub enum SendableBody {
     /// All there, for as many tries as wanted.
     Kept(Bytes),
-    /// Still arriving, for one try.
-    Streamed(Option<CallBody>),
+    /// Still arriving, for the first one who takes any of it.
+    Streamed(StreamedBody),
 }
 
 impl SendableBody {
@@ -91,7 +112,7 @@
         kept_max_bytes: usize,
     ) -> Result<Self, BodyError> {
         if !is_kept(parts, kept_max_bytes) {
-            return Ok(Self::Streamed(Some(body)));
+            return Ok(Self::Streamed(StreamedBody::new(body)));
         }
         let read = BodyStart::read(body, kept_max_bytes).await?;
         Ok(Self::Kept(read.start))
@@ -114,24 +135,32 @@
     pub fn can_be_sent(&self) -> bool {
         match self {
             Self::Kept(_) => true,
-            Self::Streamed(body) => body.is_some(),
+            Self::Streamed(body) => body.is_untaken(),
         }
     }
 
     /// The body for a try that may send it again itself.
-    pub fn again(&mut self) -> Self {
+    pub fn again(&self) -> Self {
         match self {
             Self::Kept(bytes) => Self::Kept(bytes.clone()),
-            Self::Streamed(body) => Self::Streamed(body.take()),
+            Self::Streamed(body) => Self::Streamed(StreamedBody::new(body.offer())),
         }
     }
 
-    /// The body for the next try.
-    pub fn take(&mut self) -> CallBody {
+    /// The body for the next try, which reads it at once.
+    pub fn take(&self) -> CallBody {
         match self {
             Self::Kept(bytes) if bytes.is_empty() => empty(),
             Self::Kept(bytes) => full(bytes.clone()),
-            Self::Streamed(body) => body.take().unwrap_or_else(empty),
+            Self::Streamed(body) => body.offer(),
+        }
+    }
+
+    /// The body, if it is streamed: it can be offered before it is sent.
+    pub fn streamed(&self) -> Option<&StreamedBody> {
+        match self {
+            Self::Kept(_) => None,
+            Self::Streamed(body) => Some(body),
         }
     }
 }
--- a/crates/yuccarackd/src/protocol/mod.rs
+++ b/crates/yuccarackd/src/protocol/mod.rs
@@ -10,4 +10,5 @@
 pub mod peer_news;
 pub mod refusal;
 pub mod status;
+pub mod streamed_body;
 pub mod suspect_news;
--- a/crates/yuccarackd/src/transport/call_server.rs
+++ b/crates/yuccarackd/src/transport/call_server.rs
@@ -153,8 +153,12 @@
             let (handler, pipeline) = (Arc::clone(&handler), Arc::clone(&pipeline));
             let (tracker, counters) = (tracker.clone(), self.counters.clone());
             service_fn(move |request: Request<Incoming>| {
-                let request =
-                    request.map(|body| DrainedBody::new(body, tracker.clone()).boxed_unsync());
+                let is_held_back = request.headers().contains_key(header::EXPECT);
+                let request = request.map(|body| {
+                    DrainedBody::new(body, tracker.clone())
+                        .with_held_back(is_held_back)
+                        .boxed_unsync()
+                });
                 let call = Call::new(&handler, &pipeline, &counters, request);
                 async move { Ok::<_, std::convert::Infallible>(call.answer(peer).await) }
             })
--- a/crates/yuccarackd/src/transport/drained_body.rs
+++ b/crates/yuccarackd/src/transport/drained_body.rs
@@ -30,13 +30,21 @@
 #[derive(Debug)]
 pub struct DrainedBody {
     body: Option<Incoming>,
+    /// Whether its sender waits for a word before it sends any of it; reading asks for it.
+    is_held_back: bool,
     tracker: TaskTracker,
 }
 
 impl DrainedBody {
     /// Wraps `body`; an unwanted rest is read under `tracker`.
     pub fn new(body: Incoming, tracker: TaskTracker) -> Self {
-        Self { body: Some(body), tracker }
+        Self { body: Some(body), is_held_back: false, tracker }
+    }
+
+    /// Leaves it unread where nobody has begun to read it, if its sender holds it back until then.
+    pub fn with_held_back(mut self, is_held_back: bool) -> Self {
+        self.is_held_back = is_held_back;
+        self
     }
 }
 
@@ -48,6 +56,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.is_held_back = false;
         match &mut self.body {
             Some(body) => Pin::new(body).poll_frame(cx).map_err(BodyError::Cut),
             None => Poll::Ready(None),
@@ -65,7 +74,8 @@
 
 impl Drop for DrainedBody {
     fn drop(&mut self) {
-        let unread = self.body.take().filter(|body| !body.is_end_stream());
+        let is_held_back = self.is_held_back;
+        let unread = self.body.take().filter(|body| !body.is_end_stream() && !is_held_back);
         // Without a runtime the process is ending and its connections with it.
         if let (Some(body), Ok(runtime)) = (unread, Handle::try_current()) {
             self.tracker.spawn_on(drain(body), &runtime);
--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -13,3 +13,4 @@
 mod soak;
 mod store;
 mod support;
+mod uploads;
