--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -213,7 +213,8 @@
         let loses_hope_at = |waiting: &Waiting| {
             let work = waiting.work;
             let run_time = self.run_time(now, work.kind);
-            let late_at = work.on_time_by.checked_sub(run_time).filter(|late_at| *late_at > now);
+            let late_at = work.on_time_by.checked_sub(self.likely_run_time(now, work.kind));
+            let late_at = late_at.filter(|late_at| *late_at > now);
             let hopeless_at = work.give_up_by.checked_sub(run_time).unwrap_or(work.give_up_by);
             late_at.map_or(hopeless_at, |late_at| late_at.min(hopeless_at))
         };
@@ -241,14 +242,14 @@
 
     /// Whether a request that has to wait is answered while that is of use.
     fn fits(&self, now: Instant, work: &Work) -> Result<(), RefusedReason> {
-        let run_time = self.run_time(now, work.kind);
-        let arrived = order(work, self.times.is_short(work.kind), now, run_time);
+        let likely_time = self.likely_run_time(now, work.kind);
+        let arrived = order(work, self.times.is_short(work.kind), now, likely_time);
         let ahead = self.waiting.values().filter(|other| self.order(other, now) <= arrived);
-        let done_at = now + self.wait_behind(now, ahead.count()) + run_time;
-        if done_at > work.give_up_by {
+        let starts_at = now + self.wait_behind(now, ahead.count());
+        if starts_at + self.run_time(now, work.kind) > work.give_up_by {
             return Err(RefusedReason::CannotEndInTime);
         }
-        if self.waits_in_vain(now, work, done_at) {
+        if self.waits_in_vain(now, work, starts_at + likely_time) {
             return Err(RefusedReason::TooLate);
         }
         Ok(())
@@ -270,7 +271,19 @@
     }
 
     fn run_time(&self, now: Instant, kind: u64) -> Duration {
-        let time = self.pace.run_time(now, self.times.of(kind));
+        self.at_pace(now, self.times.of(kind))
+    }
+
+    /// Time within which most work of `kind` ends that starts now.
+    ///
+    /// Failure: work is let in that is just on time if it takes as long as the mean. In an overload
+    /// all of it is, so that half of it is late, and the slots work for answers of little use.
+    fn likely_run_time(&self, now: Instant, kind: u64) -> Duration {
+        self.at_pace(now, self.times.likely(kind))
+    }
+
+    fn at_pace(&self, now: Instant, work: Duration) -> Duration {
+        let time = self.pace.run_time(now, work);
         match self.cold_until {
             Some(until) if until > now => time.mul_f64(COLD_SLOWNESS),
             _ => time,
@@ -294,7 +307,7 @@
 
     fn order(&self, waiting: &Waiting, now: Instant) -> Order {
         let work = &waiting.work;
-        order(work, self.times.is_short(work.kind), now, self.run_time(now, work.kind))
+        order(work, self.times.is_short(work.kind), now, self.likely_run_time(now, work.kind))
     }
 
     /// Turns away what waits without hope.
@@ -321,7 +334,8 @@
         if done_at > waiting.work.give_up_by {
             return Some(RefusedReason::CannotEndInTime);
         }
-        let is_in_vain = self.waits_in_vain(now, &waiting.work, done_at);
+        let likely_at = now + self.likely_run_time(now, waiting.work.kind);
+        let is_in_vain = self.waits_in_vain(now, &waiting.work, likely_at);
         is_in_vain.then_some(RefusedReason::TooLate)
     }
 
--- a/crates/yuccarack_policy/src/work_queue/times.rs
+++ b/crates/yuccarack_policy/src/work_queue/times.rs
@@ -21,10 +21,21 @@
 /// Weight of a new time in what a busy slot does; both kinds of a mix have to be seen for it.
 const BUSY_WEIGHT: f64 = 0.02;
 
+/// Deviations by which a time that most work keeps lies above the mean.
+const LIKELY_DEVIATIONS: f64 = 1.0;
+
+/// Smoothed time of one kind.
+#[derive(Clone, Copy, Debug)]
+struct KindTime {
+    mean: Duration,
+    /// Mean distance from the mean.
+    deviation: Duration,
+}
+
 /// Smoothed times by kind.
 #[derive(Clone, Debug)]
 pub struct WorkTimes {
-    of_kind: HashMap<u64, Duration>,
+    of_kind: HashMap<u64, KindTime>,
     mean: Option<Duration>,
     /// Means of the times and of their squares, in s; their ratio is the work that a busy slot does.
     busy: Option<(f64, f64)>,
@@ -36,7 +47,13 @@
     }
 
     pub fn of(&self, kind: u64) -> Duration {
-        self.of_kind.get(&kind).copied().unwrap_or_else(|| self.mean())
+        self.of_kind.get(&kind).map_or_else(|| self.mean(), |time| time.mean)
+    }
+
+    /// Time that most work of `kind` keeps.
+    pub fn likely(&self, kind: u64) -> Duration {
+        let likely = |time: &KindTime| time.mean + time.deviation.mul_f64(LIKELY_DEVIATIONS);
+        self.of_kind.get(&kind).map_or_else(|| self.mean(), likely)
     }
 
     pub fn mean(&self) -> Duration {
@@ -51,7 +68,7 @@
         let (Some(time), Some((mean, square))) = (self.of_kind.get(&kind), self.busy) else {
             return false;
         };
-        time.as_secs_f64() <= SHORT_SHARE * square / mean.max(f64::MIN_POSITIVE)
+        time.mean.as_secs_f64() <= SHORT_SHARE * square / mean.max(f64::MIN_POSITIVE)
     }
 
     pub fn took(&mut self, kind: u64, time: Duration) {
@@ -63,9 +80,10 @@
         ));
         self.mean = Some(self.mean.map_or(time, |mean| smoothed(mean, time)));
         if let Some(known) = self.of_kind.get_mut(&kind) {
-            *known = smoothed(*known, time);
+            known.deviation = smoothed(known.deviation, known.mean.abs_diff(time));
+            known.mean = smoothed(known.mean, time);
         } else if self.of_kind.len() < KINDS_MAX {
-            self.of_kind.insert(kind, time);
+            self.of_kind.insert(kind, KindTime { mean: time, deviation: Duration::ZERO });
         }
     }
 }
--- a/crates/yuccarackd/src/protocol/streamed_body.rs
+++ b/crates/yuccarackd/src/protocol/streamed_body.rs
@@ -124,6 +124,6 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.taken.as_ref().map_or_else(|| self.size.clone(), Body::size_hint)
+        self.taken.as_ref().map_or(self.size, Body::size_hint)
     }
 }
