--- a/crates/yuccarack_policy/src/lib.rs
+++ b/crates/yuccarack_policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod hidden_load;
 pub mod measuring;
 pub mod pace;
+pub mod patience;
 pub mod placement;
 pub mod relays;
 pub mod retry;
--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod head;
 mod prober;
+mod route_load;
 mod service;
 mod tries;
 
@@ -29,6 +30,7 @@
     asked_gates::AskedGates,
     call::{OnwardParts, RoutedCall},
     head::RoutedHead,
+    route_load::RouteLoads,
     service::{Followed, RoutedService},
     tries::Tries,
 };
@@ -103,6 +105,7 @@
     parts: RoutedEntryParts,
     services: Mutex<HashMap<ServiceName, Arc<RoutedService>>>,
     splits: Mutex<HashMap<String, Split>>,
+    loads: RouteLoads,
 }
 
 impl CallHandler for RoutedEntry {
@@ -179,7 +182,12 @@
 impl RoutedEntry {
     /// Makes an entry that has served nothing yet.
     pub fn new(parts: RoutedEntryParts) -> Self {
-        Self { parts, services: Mutex::default(), splits: Mutex::default() }
+        Self {
+            parts,
+            services: Mutex::default(),
+            splits: Mutex::default(),
+            loads: RouteLoads::new(),
+        }
     }
 
     /// Looks until `stop` whether gates that could not be reached are back.
@@ -209,7 +217,12 @@
         check_size(&routing, &parts)?;
         let call = self.read(&routing, route, head, parts, body, story.came_at).await?;
         story.service.clone_from(&call.service);
-        self.run(call, &story.gates).await
+        let kind = call.kind;
+        let result = self.run(call, &story.gates).await;
+        if result.as_ref().is_err_and(Refusal::is_not_run) {
+            self.loads.refused(Instant::now(), kind);
+        }
+        result
     }
 
     async fn read(
@@ -223,6 +236,15 @@
     ) -> Result<RoutedCall, Refusal> {
         let wait_by = came_at + Duration::from_millis(route.wait_max_ms.into());
         let by = head.deadline.map_or(wait_by, |deadline| deadline.min(wait_by));
+        let kind = xxh3_64(route.name.as_bytes());
+        let waited = match head.deadline {
+            Some(by) => {
+                let left = by.saturating_duration_since(came_at);
+                self.loads.waited(came_at, kind, left)
+            }
+            None => Duration::ZERO,
+        };
+        let on_time = Duration::from_millis(route.on_time_ms.into());
         let deadline = CallDeadline::new(by.checked_sub(WAY_BACK).unwrap_or(by));
         let body = match parts.headers.contains_key(header::CONTENT_LENGTH) {
             true => body,
@@ -237,10 +259,10 @@
         Ok(RoutedCall {
             request_id: head.request_id,
             deadline,
-            on_time_by: came_at + Duration::from_millis(route.on_time_ms.into()),
+            on_time_by: came_at + on_time.saturating_sub(waited),
             came_at,
             service: self.service_of(route)?,
-            kind: xxh3_64(route.name.as_bytes()),
+            kind,
             rank: route.rank,
             is_repeatable: route.is_repeatable,
             targets_max: route.targets_max,
--- /dev/null
+++ b/crates/yuccarackd/src/coordination/routed/entry/route_load.rs
@@ -0,0 +1,49 @@
+//! What an entry learns of each route's requests while they are many.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use yuccarack_policy::patience::Patience;
+
+/// Most routes of which something is kept; more than an operator's table has for its requests.
+const ROUTES_MAX: usize = 4_096;
+
+/// What is learned by kind of request.
+#[derive(Default)]
+pub struct RouteLoads {
+    by_kind: Mutex<HashMap<u64, RouteLoad>>,
+}
+
+#[derive(Default)]
+struct RouteLoad {
+    patience: Patience,
+}
+
+impl RouteLoads {
+    /// Starts without knowing anything.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Time for which the caller of a request that comes `now` has waited before it sent this one.
+    pub fn waited(&self, now: Instant, kind: u64, left: Duration) -> Duration {
+        self.with(kind, |load| load.patience.waited(now, left))
+    }
+
+    /// Notes that a request of `kind` was refused.
+    pub fn refused(&self, now: Instant, kind: u64) {
+        self.with(kind, |load| load.patience.refused(now));
+    }
+
+    fn with<T>(&self, kind: u64, note: impl FnOnce(&mut RouteLoad) -> T) -> T {
+        let mut by_kind = self.by_kind.lock();
+        if by_kind.len() >= ROUTES_MAX && !by_kind.contains_key(&kind) {
+            // Routes that operators took away long ago are among them.
+            by_kind.clear();
+        }
+        note(by_kind.entry(kind).or_default())
+    }
+}
