--- a/crates/yuccarack_policy/src/lib.rs
+++ b/crates/yuccarack_policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod crash_counts;
 pub mod exchange_pace;
 pub mod extra_tries;
+pub mod futile_runs;
 pub mod hedge;
 pub mod hidden_load;
 pub mod measuring;
--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -24,7 +24,7 @@
     ids::ServiceName,
     routing::{Route, Routing},
 };
-use yuccarack_policy::split::Split;
+use yuccarack_policy::{futile_runs::RunResult, split::Split};
 
 use self::{
     asked_gates::AskedGates,
@@ -218,10 +218,11 @@
         let call = self.read(&routing, route, head, parts, body, story.came_at).await?;
         story.service.clone_from(&call.service);
         let kind = call.kind;
-        let result = self.run(call, &story.gates).await;
-        if result.as_ref().is_err_and(Refusal::is_not_run) {
-            self.loads.refused(Instant::now(), kind);
+        if !self.loads.lets_in(kind) {
+            return Err(Refusal::not_run(Reason::ShortElsewhere));
         }
+        let result = self.run(call, &story.gates).await;
+        self.learn(kind, &story.service, &result);
         result
     }
 
@@ -292,6 +293,26 @@
         }
     }
 
+    /// Learns from the end of a call of `kind` that goes to `service`.
+    fn learn(&self, kind: u64, service: &str, result: &Result<Response<CallBody>, Refusal>) {
+        let now = Instant::now();
+        match result {
+            Ok(answer) if answer.status().is_server_error() => {
+                let is_short = self.is_another_short(now, service);
+                self.loads.ran(kind, RunResult::Failed, is_short);
+            }
+            Ok(_) => self.loads.ran(kind, RunResult::Good, false),
+            Err(refusal) if refusal.is_not_run() => self.loads.refused(now, kind),
+            Err(_) => {}
+        }
+    }
+
+    /// Whether a service other than `own` turns requests away.
+    fn is_another_short(&self, now: Instant, own: &str) -> bool {
+        let services = self.services.lock();
+        services.iter().any(|(name, service)| name != own && service.is_short(now))
+    }
+
     fn service_of(&self, route: &Route) -> Result<ServiceName, Refusal> {
         if let [only] = route.split.as_slice() {
             return Ok(only.service.clone());
--- a/crates/yuccarackd/src/coordination/routed/entry/route_load.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/route_load.rs
@@ -6,7 +6,10 @@
 };
 
 use parking_lot::Mutex;
-use yuccarack_policy::patience::Patience;
+use yuccarack_policy::{
+    futile_runs::{FutileRuns, RunResult},
+    patience::Patience,
+};
 
 /// Most routes of which something is kept; more than an operator's table has for its requests.
 const ROUTES_MAX: usize = 4_096;
@@ -20,6 +23,7 @@
 #[derive(Default)]
 struct RouteLoad {
     patience: Patience,
+    futile_runs: FutileRuns,
 }
 
 impl RouteLoads {
@@ -33,11 +37,21 @@
         self.with(kind, |load| load.patience.waited(now, left))
     }
 
+    /// Whether a request of `kind` is let in.
+    pub fn lets_in(&self, kind: u64) -> bool {
+        self.with(kind, |load| load.futile_runs.lets_in(&mut rand::rng()))
+    }
+
     /// Notes that a request of `kind` was refused.
     pub fn refused(&self, now: Instant, kind: u64) {
         self.with(kind, |load| load.patience.refused(now));
     }
 
+    /// Notes how a run of `kind` ended while another service was short or not.
+    pub fn ran(&self, kind: u64, result: RunResult, is_short: bool) {
+        self.with(kind, |load| load.futile_runs.ended(result, is_short));
+    }
+
     fn with<T>(&self, kind: u64, note: impl FnOnce(&mut RouteLoad) -> T) -> T {
         let mut by_kind = self.by_kind.lock();
         if by_kind.len() >= ROUTES_MAX && !by_kind.contains_key(&kind) {
--- a/crates/yuccarackd/src/coordination/routed/entry/tries.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/tries.rs
@@ -79,6 +79,9 @@
     /// The last refusal; its outcome speaks for its own try only.
     pub async fn run(mut self) -> Result<Response<CallBody>, Refusal> {
         let result = self.run_all().await;
+        if result.as_ref().is_err_and(is_for_want_of_room) {
+            self.service.refused(Instant::now());
+        }
         self.entry.parts.metrics.tried(self.asked.count());
         result
     }
@@ -290,6 +293,10 @@
     }
 }
 
+fn is_for_want_of_room(refusal: &Refusal) -> bool {
+    refusal.is_not_run() && matches!(refusal.reason, Reason::Admission(_))
+}
+
 fn unsent(error: &SendError) -> Refusal {
     match error {
         SendError::Unreachable { .. } => Refusal::not_run(Reason::NoConnection),
--- a/crates/yuccarackd/src/protocol/refusal.rs
+++ b/crates/yuccarackd/src/protocol/refusal.rs
@@ -70,6 +70,8 @@
     Draining,
     /// The gate's admission refused; the inner word says why.
     Admission(&'static str),
+    /// Runs of such requests fail for want of another service.
+    ShortElsewhere,
     /// Too many claims of this gate wait for the platform.
     ClaimsBusy,
     /// A request with this key is running, or its fate is unknown.
@@ -134,6 +136,7 @@
             Self::NotReady => "not_ready",
             Self::Draining => "draining",
             Self::Admission(word) => word,
+            Self::ShortElsewhere => "short_elsewhere",
             Self::ClaimsBusy => "claims_busy",
             Self::InProgress => "in_progress",
             Self::AnswerNotKept => "answer_not_kept",
@@ -175,6 +178,7 @@
             | Self::NotReady
             | Self::Draining
             | Self::Admission(_)
+            | Self::ShortElsewhere
             | Self::ClaimsBusy
             | Self::Quarantined
             | Self::OnTrial
