--- a/crates/yuccarack_policy/src/lib.rs
+++ b/crates/yuccarack_policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod hidden_load;
 pub mod measuring;
 pub mod pace;
+pub mod pace_looks;
 pub mod patience;
 pub mod placement;
 pub mod relays;
--- /dev/null
+++ b/crates/yuccarack_policy/src/pace_looks.rs
@@ -0,0 +1,67 @@
+//! When a gate asks its target for the pace.
+//!
+//! The pattern is a target that few requests reach and whose neighbours slow it down several times a
+//! second. Each answer tells its pace, but with some twenty answers a second the gate learns of a slow
+//! spell when a third of it is over, and lets in what would have been answered in time elsewhere. So
+//! it asks a target that works when no answer has told the pace for a while. A target under load is
+//! never asked, since its answers tell enough, nor one without work.
+
+use std::time::{Duration, Instant};
+
+use crate::pace::Pace;
+
+/// Age of the newest word of the pace from which the target is asked; a sixth of the time for which a
+/// pace lasts.
+pub const LOOK_AGE: Duration = Duration::from_millis(50);
+
+/// Longest wait for the answer, which tells nothing new after that.
+pub const LOOK_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// First pause after a look that was in vain; each further one doubles it.
+const PAUSE_FIRST: Duration = Duration::from_millis(100);
+
+/// Longest such pause.
+const PAUSE_MAX: Duration = Duration::from_secs(3);
+
+/// How a look ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Looked {
+    /// The target told its pace.
+    Told,
+    /// It didn't.
+    InVain,
+}
+
+/// Looks at one target.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PaceLooks {
+    in_vain: u32,
+    paused_until: Option<Instant>,
+}
+
+impl PaceLooks {
+    /// Starts without a look.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// When the next look is due at a target with so many requests `running`, by what is known of its
+    /// pace; none while it has no work, or has never told a pace.
+    pub fn due_at(&self, running: usize, pace: &Pace) -> Option<Instant> {
+        let reported_at = pace.reported_at().filter(|_| running > 0)?;
+        let due_at = reported_at + LOOK_AGE;
+        Some(self.paused_until.map_or(due_at, |until| until.max(due_at)))
+    }
+
+    /// Notes the end of a look.
+    pub fn looked(&mut self, now: Instant, looked: Looked) {
+        match looked {
+            Looked::Told => *self = Self::new(),
+            Looked::InVain => {
+                let pause = PAUSE_FIRST * 2_u32.saturating_pow(self.in_vain.min(8));
+                self.paused_until = Some(now + pause.min(PAUSE_MAX));
+                self.in_vain += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/yuccarack_policy/tests/pace_looks.rs
@@ -0,0 +1,89 @@
+//! When a gate asks for its target's pace.
+
+use std::time::{Duration, Instant};
+
+use yuccarack_policy::{
+    pace::Pace,
+    pace_looks::{LOOK_AGE, Looked, PaceLooks},
+};
+
+/// How long a pace lasts, and how often it changes to a slow one.
+const SPELL_MS: u64 = 300;
+
+/// Time by which a gate knows the slow pace of a target that answers each `answer_ms`, in a spell that
+/// starts at `from`.
+fn known_after(answer_ms: u64, with_looks: bool) -> Duration {
+    let start = Instant::now();
+    let (mut pace, mut looks) = (Pace::new(), PaceLooks::new());
+    pace.reported(start, 1.0);
+    let slow_from = start + Duration::from_millis(SPELL_MS);
+    let mut now = start;
+    loop {
+        now += Duration::from_millis(1);
+        let is_slow = now >= slow_from;
+        let slowness = if is_slow { 4.0 } else { 1.0 };
+        let since_start = now.duration_since(start).as_millis() as u64;
+        let is_answer = since_start % answer_ms == answer_ms - 1;
+        let is_look = with_looks && looks.due_at(1, &pace).is_some_and(|at| at <= now);
+        if is_look {
+            looks.looked(now, Looked::Told);
+        }
+        if is_answer || is_look {
+            pace.reported(now, slowness);
+            if is_slow {
+                return now.duration_since(slow_from);
+            }
+        }
+    }
+}
+
+/// Story: a target with few requests turns slow for a third of a second. Its gate hears of that with
+/// the next answer, and until then lets in what another target would have answered in time.
+#[test]
+fn a_slow_spell_of_a_target_with_few_requests_is_known_early() {
+    assert!(known_after(170, false) > Duration::from_millis(30));
+    for answer_ms in [90, 130, 170, 250] {
+        let known = known_after(answer_ms, true);
+        assert!(known <= LOOK_AGE, "{answer_ms}: {known:?}");
+    }
+}
+
+/// Measuring must not cost where it tells nothing new: a busy target's answers do, an idle one has
+/// nobody to send elsewhere, and one that tells no pace never will.
+#[test]
+fn only_a_target_that_works_and_is_not_heard_of_is_asked() {
+    let now = Instant::now();
+    let (mut pace, looks) = (Pace::new(), PaceLooks::new());
+    assert_eq!(looks.due_at(3, &pace), None);
+    pace.reported(now, 1.0);
+    assert_eq!(looks.due_at(0, &pace), None);
+    assert_eq!(looks.due_at(3, &pace), Some(now + LOOK_AGE));
+    for step in 1..100 {
+        pace.reported(now + Duration::from_millis(20) * step, 1.0);
+        let at = now + Duration::from_millis(20) * (step + 1);
+        assert!(looks.due_at(3, &pace).is_some_and(|due_at| due_at > at));
+    }
+}
+
+/// Story: a target hangs or has no such endpoint. It is asked less and less, and as before once it
+/// answers.
+#[test]
+fn a_target_that_does_not_answer_is_asked_seldom() {
+    let start = Instant::now();
+    let (mut pace, mut looks) = (Pace::new(), PaceLooks::new());
+    pace.reported(start, 1.0);
+    let (mut now, mut asked) = (start, 0);
+    while now < start + Duration::from_secs(30) {
+        match looks.due_at(1, &pace) {
+            Some(at) if at <= now => {
+                asked += 1;
+                looks.looked(now, Looked::InVain);
+            }
+            _ => now += Duration::from_millis(1),
+        }
+    }
+    assert!(asked <= 16, "{asked} looks in half a minute");
+    looks.looked(now, Looked::Told);
+    pace.reported(now, 1.0);
+    assert_eq!(looks.due_at(1, &pace), Some(now + LOOK_AGE));
+}
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -4,6 +4,7 @@
 mod door;
 mod exchange;
 mod kept;
+mod pace_looks;
 mod work;
 mod work_slots;
 
@@ -90,6 +91,9 @@
 /// The gate of one target.
 pub struct Gate {
     parts: GateParts,
+    /// Connections for looks alone: what a target sends too much on those of requests, or in answer
+    /// to a look, reaches no other one.
+    look_upstream: Upstream,
     open: RwLock<Option<Arc<OpenTarget>>>,
 }
 
@@ -105,7 +109,8 @@
 impl Gate {
     /// Makes a gate that knows no target yet.
     pub fn new(parts: GateParts) -> Self {
-        Self { parts, open: RwLock::new(None) }
+        let look_upstream = Upstream::new(parts.background.clone());
+        Self { parts, look_upstream, open: RwLock::new(None) }
     }
 
     /// Follows what the target says until `stop`.
@@ -113,7 +118,9 @@
         let mut changes = self.parts.target.subscribe();
         loop {
             let view = changes.borrow_and_update().clone();
-            self.take(view);
+            if let Some(open) = self.take(view) {
+                self.parts.background.spawn(pace_looks::run(Arc::clone(&self), open));
+            }
             tokio::select! {
                 () = stop.cancelled() => break,
                 () = self.parts.leaving.cancelled() => break,
@@ -234,20 +241,21 @@
         });
     }
 
-    fn take(&self, view: Option<Arc<TargetView>>) {
+    /// Takes in what the target says; returns a target that is new.
+    fn take(&self, view: Option<Arc<TargetView>>) -> Option<Arc<OpenTarget>> {
         let mut open = self.open.write();
         let Some(view) = view.filter(|view| view.phase == TargetPhase::Ready) else {
             if let Some(old) = open.as_ref() {
                 old.slots.change(|queue, now| queue.leave(now));
             }
-            return;
+            return None;
         };
         if let Some(old) = open.as_ref().filter(|old| old.view.is_same_life(&view)) {
             old.slots.change(|queue, now| {
                 queue.stay();
                 queue.set_slots(now, view.slots);
             });
-            return;
+            return None;
         }
         if let Some(old) = open.take() {
             old.slots.change(|queue, now| queue.leave(now));
@@ -259,7 +267,15 @@
             life: view.life,
             slots: view.slots,
         });
-        *open = Some(Arc::new(self.open_target(view)));
+        let taken_in = Arc::new(self.open_target(view));
+        *open = Some(Arc::clone(&taken_in));
+        Some(taken_in)
+    }
+
+    /// Path on which the target tells its load, by the routing table.
+    fn load_path(&self, open: &OpenTarget) -> Option<String> {
+        let routing = self.parts.routing.current()?;
+        routing.service(&open.view.service).map(|service| service.load_path.clone())
     }
 
     fn open_target(&self, view: Arc<TargetView>) -> OpenTarget {
--- a/crates/yuccarackd/src/coordination/routed/gate/work_slots.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/work_slots.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Instant};
 
 use parking_lot::Mutex;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, futures::Notified, oneshot};
 use tokio_util::sync::CancellationToken;
 use yuccarack_policy::{
     placement::GateLoad,
@@ -28,6 +28,8 @@
     state: Mutex<State>,
     /// Wakes the clock when the next due time may have changed.
     changed: Notify,
+    /// Wakes who waits for work to begin.
+    started: Notify,
 }
 
 struct State {
@@ -39,7 +41,13 @@
     /// Makes the slots of a target that runs `slots` at once.
     pub fn new(slots: u16) -> Self {
         let state = State { queue: WorkQueue::new(slots), waiting: HashMap::new() };
-        Self { shared: Arc::new(Shared { state: Mutex::new(state), changed: Notify::new() }) }
+        Self {
+            shared: Arc::new(Shared {
+                state: Mutex::new(state),
+                changed: Notify::new(),
+                started: Notify::new(),
+            }),
+        }
     }
 
     /// Changes the queue, then tells whoever the change has settled.
@@ -60,7 +68,10 @@
         let (key, settled) = {
             let mut state = self.shared.state.lock();
             match state.queue.offer(Instant::now(), work) {
-                Offered::Run(key) => return Ok(WorkLease::new(self.clone(), key)),
+                Offered::Run(key) => {
+                    self.shared.started.notify_waiters();
+                    return Ok(WorkLease::new(self.clone(), key));
+                }
                 Offered::Refused(refused) => return Err(refused),
                 Offered::Wait(key) => {
                     let (sender, settled) = oneshot::channel();
@@ -86,6 +97,16 @@
         }
     }
 
+    /// Reads of the queue.
+    pub fn read<T>(&self, read: impl FnOnce(&WorkQueue) -> T) -> T {
+        read(&self.shared.state.lock().queue)
+    }
+
+    /// Waits until a request gets a slot at once.
+    pub fn started(&self) -> Notified<'_> {
+        self.shared.started.notified()
+    }
+
     /// Requests that run.
     pub fn running(&self) -> usize {
         self.shared.state.lock().queue.running()
