--- a/crates/yuccarack_config/src/lib.rs
+++ b/crates/yuccarack_config/src/lib.rs
@@ -3,6 +3,7 @@
 #[macro_use]
 mod derives;
 
+pub mod decisions;
 pub mod faults;
 pub mod headers;
 pub mod heartbeat;
--- a/crates/yuccarack_config/src/routed_settings.rs
+++ b/crates/yuccarack_config/src/routed_settings.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::{
+    decisions::Decisions,
     faults::{self, FileError},
     ids::{DomainName, InstanceId, ServiceName},
     routing::RoutingTable,
@@ -55,6 +56,9 @@
         /// Times and shares that the operators set for the whole fleet.
         #[serde(default)]
         pub bounds: RoutedBounds,
+        /// Decisions under load that are in use.
+        #[serde(default)]
+        pub decisions: Decisions,
     }
 
     /// Times and shares that hold for the whole fleet.
--- a/crates/yuccarack_config/src/routed_settings/check.rs
+++ b/crates/yuccarack_config/src/routed_settings/check.rs
@@ -24,6 +24,19 @@
     Field::defaulted("log", LOG),
     Field::defaulted("log_lines_percent", Kind::number(0, 1_000)),
     Field::defaulted("bounds", BOUNDS),
+    Field::defaulted("decisions", DECISIONS),
+]);
+
+const DECISIONS: Kind = Kind::Group(&[
+    Field::defaulted("early_reads", Kind::Flag),
+    Field::defaulted("offered_bodies", Kind::Flag),
+    Field::defaulted("patience", Kind::Flag),
+    Field::defaulted("futile_runs", Kind::Flag),
+    Field::defaulted("pace_looks", Kind::Flag),
+    Field::defaulted("likely_times", Kind::Flag),
+    Field::defaulted("short_first", Kind::Flag),
+    Field::defaulted("slow_passed_over", Kind::Flag),
+    Field::defaulted("home_first", Kind::Flag),
 ]);
 
 const BOUNDS: Kind = Kind::Group(&[
--- a/crates/yuccarack_policy/src/placement/mod.rs
+++ b/crates/yuccarack_policy/src/placement/mod.rs
@@ -13,6 +13,7 @@
 
 use rand::{Rng, seq::IteratorRandom};
 use slotmap::{SlotMap, new_key_type};
+use yuccarack_config::decisions::Decisions;
 
 use self::gate::Gate;
 pub use self::gate::{GateLoad, TryEnd};
@@ -101,6 +102,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Placement {
     gates: SlotMap<GateKey, Gate>,
+    decisions: Decisions,
 }
 
 impl Placement {
@@ -109,6 +111,12 @@
         Self::default()
     }
 
+    /// Decides by these.
+    pub fn with_decisions(mut self, decisions: Decisions) -> Self {
+        self.decisions = decisions;
+        self
+    }
+
     /// Takes a gate in.
     pub fn add(&mut self, is_near: bool) -> GateKey {
         self.gates.insert(Gate::new(is_near))
@@ -214,6 +222,6 @@
 
     fn cost(&self, gate: &Gate, now: Instant, mean_work: Duration) -> Duration {
         let expected = gate.expected(now, mean_work).mul_f64(1.0 + FAILURE_COST * gate.failures());
-        if gate.is_near { expected } else { expected + FAR_COST }
+        if gate.is_near || !self.decisions.home_first { expected } else { expected + FAR_COST }
     }
 }
--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -19,6 +19,7 @@
 use std::time::{Duration, Instant};
 
 use slotmap::{SlotMap, new_key_type};
+use yuccarack_config::decisions::Decisions;
 
 use self::{
     times::WorkTimes,
@@ -87,6 +88,7 @@
     cold_until: Option<Instant>,
     settled: Vec<Settled>,
     is_leaving: bool,
+    decisions: Decisions,
 }
 
 impl WorkQueue {
@@ -101,9 +103,16 @@
             cold_until: None,
             settled: Vec::new(),
             is_leaving: false,
+            decisions: Decisions::default(),
         }
     }
 
+    /// Decides by these.
+    pub fn with_decisions(mut self, decisions: Decisions) -> Self {
+        self.decisions = decisions;
+        self
+    }
+
     /// Follows a changed number of slots.
     pub fn set_slots(&mut self, now: Instant, slots: u16) {
         self.slots = slots;
@@ -154,7 +163,8 @@
             return self.refused(now, RefusedReason::CannotEndInTime);
         }
         let has_room = self.running.len() < self.limit();
-        if has_room && !work.may_wait && self.pace.at(now) >= SLOW_PACE {
+        let is_passed_over = self.decisions.slow_passed_over && !work.may_wait;
+        if has_room && is_passed_over && self.pace.at(now) >= SLOW_PACE {
             return self.refused(now, RefusedReason::Slow);
         }
         if has_room {
@@ -243,7 +253,7 @@
     /// Whether a request that has to wait is answered while that is of use.
     fn fits(&self, now: Instant, work: &Work) -> Result<(), RefusedReason> {
         let likely_time = self.likely_run_time(now, work.kind);
-        let arrived = order(work, self.times.is_short(work.kind), now, likely_time);
+        let arrived = order(work, self.is_short(work.kind), now, likely_time);
         let ahead = self.waiting.values().filter(|other| self.order(other, now) <= arrived);
         let starts_at = now + self.wait_behind(now, ahead.count());
         if starts_at + self.run_time(now, work.kind) > work.give_up_by {
@@ -257,7 +267,7 @@
 
     /// Whether a request that would be answered at `done_at` is too late to wait for long.
     fn waits_in_vain(&self, now: Instant, work: &Work, done_at: Instant) -> bool {
-        if done_at <= work.on_time_by || self.times.is_short(work.kind) {
+        if done_at <= work.on_time_by || self.is_short(work.kind) {
             return false;
         }
         let wait = self.wait_behind(now, self.waiting.len());
@@ -265,6 +275,10 @@
         wait > left.mul_f64(LATE_WAIT_SHARE)
     }
 
+    fn is_short(&self, kind: u64) -> bool {
+        self.decisions.short_first && self.times.is_short(kind)
+    }
+
     fn wait_behind(&self, now: Instant, ahead: usize) -> Duration {
         let turn = self.pace.run_time(now, self.times.mean()).div_f64(self.limit() as f64);
         turn.mul_f64((ahead + 1) as f64)
@@ -279,7 +293,11 @@
     /// Failure: work is let in that is just on time if it takes as long as the mean. In an overload
     /// all of it is, so that half of it is late, and the slots work for answers of little use.
     fn likely_run_time(&self, now: Instant, kind: u64) -> Duration {
-        self.at_pace(now, self.times.likely(kind))
+        let time = match self.decisions.likely_times {
+            true => self.times.likely(kind),
+            false => self.times.of(kind),
+        };
+        self.at_pace(now, time)
     }
 
     fn at_pace(&self, now: Instant, work: Duration) -> Duration {
@@ -307,7 +325,7 @@
 
     fn order(&self, waiting: &Waiting, now: Instant) -> Order {
         let work = &waiting.work;
-        order(work, self.times.is_short(work.kind), now, self.likely_run_time(now, work.kind))
+        order(work, self.is_short(work.kind), now, self.likely_run_time(now, work.kind))
     }
 
     /// Turns away what waits without hope.
--- a/crates/yuccarackd/src/coordination/routed/entry/call.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/call.rs
@@ -108,8 +108,8 @@
     ///
     /// A streamed body goes out when the gate has a slot for it and not before: refused, it is still
     /// here for another gate, and none of its bytes were sent for nothing.
-    pub fn request(&self, hop: &Hop) -> Request<CallBody> {
-        let Some(body) = self.body.streamed() else {
+    pub fn request(&self, hop: &Hop, is_offered: bool) -> Request<CallBody> {
+        let Some(body) = self.body.streamed().filter(|_| is_offered) else {
             return self.request_with(hop, self.body.take());
         };
         let wanted = Wanted::new();
--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -114,7 +114,8 @@
     /// Only what may run twice: its caller sends it again when an answer before it closes the
     /// connection. None while this daemon leaves, which closes connections.
     fn may_start_early(&self, head: &Parts) -> bool {
-        if self.parts.leaving.is_cancelled() {
+        let is_on = self.parts.settings.current().decisions.early_reads;
+        if !is_on || self.parts.leaving.is_cancelled() {
             return false;
         }
         let (Some(host), Some(routing)) = (head::host(head), self.parts.routing.current()) else {
@@ -182,12 +183,8 @@
 impl RoutedEntry {
     /// Makes an entry that has served nothing yet.
     pub fn new(parts: RoutedEntryParts) -> Self {
-        Self {
-            parts,
-            services: Mutex::default(),
-            splits: Mutex::default(),
-            loads: RouteLoads::new(),
-        }
+        let loads = RouteLoads::new(parts.settings.current().decisions);
+        Self { parts, services: Mutex::default(), splits: Mutex::default(), loads }
     }
 
     /// Looks until `stop` whether gates that could not be reached are back.
@@ -335,8 +332,8 @@
             Some(service) => Arc::clone(service),
             None => {
                 let entries = self.parts.members.count();
-                let bounds = &self.parts.settings.current().bounds;
-                let service = Arc::new(RoutedService::new(bounds, entries));
+                let settings = self.parts.settings.current();
+                let service = Arc::new(RoutedService::new(&settings, entries));
                 services.insert(name.to_owned(), Arc::clone(&service));
                 service
             }
--- a/crates/yuccarackd/src/coordination/routed/entry/route_load.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/route_load.rs
@@ -6,6 +6,7 @@
 };
 
 use parking_lot::Mutex;
+use yuccarack_config::decisions::Decisions;
 use yuccarack_policy::{
     futile_runs::{FutileRuns, RunResult},
     patience::Patience,
@@ -15,8 +16,8 @@
 const ROUTES_MAX: usize = 4_096;
 
 /// What is learned by kind of request.
-#[derive(Default)]
 pub struct RouteLoads {
+    decisions: Decisions,
     by_kind: Mutex<HashMap<u64, RouteLoad>>,
 }
 
@@ -28,18 +29,22 @@
 
 impl RouteLoads {
     /// Starts without knowing anything.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(decisions: Decisions) -> Self {
+        Self { decisions, by_kind: Mutex::default() }
     }
 
     /// Time for which the caller of a request that comes `now` has waited before it sent this one.
     pub fn waited(&self, now: Instant, kind: u64, left: Duration) -> Duration {
+        if !self.decisions.patience {
+            return Duration::ZERO;
+        }
         self.with(kind, |load| load.patience.waited(now, left))
     }
 
     /// Whether a request of `kind` is let in.
     pub fn lets_in(&self, kind: u64) -> bool {
-        self.with(kind, |load| load.futile_runs.lets_in(&mut rand::rng()))
+        !self.decisions.futile_runs
+            || self.with(kind, |load| load.futile_runs.lets_in(&mut rand::rng()))
     }
 
     /// Notes that a request of `kind` was refused.
--- a/crates/yuccarackd/src/coordination/routed/entry/service.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/service.rs
@@ -12,7 +12,7 @@
 use slotmap::SecondaryMap;
 use yuccarack_config::{
     ids::{DomainName, InstanceId},
-    routed_settings::RoutedBounds,
+    routed_settings::RoutedSettings,
 };
 use yuccarack_policy::{
     extra_tries::{BadTry, ExtraTries, NoMore},
@@ -74,10 +74,11 @@
 
 impl RoutedService {
     /// Starts without gates.
-    pub fn new(bounds: &RoutedBounds, entries: usize) -> Self {
+    pub fn new(settings: &RoutedSettings, entries: usize) -> Self {
+        let bounds = &settings.bounds;
         let state = State {
             generation: 0,
-            placement: Placement::new(),
+            placement: Placement::new().with_decisions(settings.decisions),
             known: HashMap::new(),
             chosen_by: SecondaryMap::new(),
             extra_tries: ExtraTries::new(bounds.extra_tries_percent, bounds.extra_tries, entries),
--- a/crates/yuccarackd/src/coordination/routed/entry/tries.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/tries.rs
@@ -198,7 +198,8 @@
     }
 
     async fn send_there(&mut self, gate: &ChosenGate, hop: Hop) -> Ended {
-        let request = self.call.request(&hop);
+        let is_offered = self.entry.parts.settings.current().decisions.offered_bodies;
+        let request = self.call.request(&hop, is_offered);
         let upstream = &self.entry.parts.upstream;
         match upstream.send(gate.address(), request, Freshness::Kept).await {
             Ok(answer) => self.heard(gate, answer),
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -20,7 +20,7 @@
 use parking_lot::RwLock;
 use tokio::time::sleep;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
-use yuccarack_config::heartbeat::TargetPhase;
+use yuccarack_config::{decisions::Decisions, heartbeat::TargetPhase};
 use yuccarack_policy::{placement::GateLoad, work_queue::Refused};
 
 pub use self::{
@@ -86,6 +86,8 @@
     pub background: TaskTracker,
     /// Cancelled when this daemon leaves.
     pub leaving: CancellationToken,
+    /// Decisions in use.
+    pub decisions: Decisions,
 }
 
 /// The gate of one target.
@@ -118,7 +120,8 @@
         let mut changes = self.parts.target.subscribe();
         loop {
             let view = changes.borrow_and_update().clone();
-            if let Some(open) = self.take(view) {
+            let taken_in = self.take(view).filter(|_| self.parts.decisions.pace_looks);
+            if let Some(open) = taken_in {
                 self.parts.background.spawn(pace_looks::run(Arc::clone(&self), open));
             }
             tokio::select! {
@@ -279,7 +282,7 @@
     }
 
     fn open_target(&self, view: Arc<TargetView>) -> OpenTarget {
-        let slots = WorkSlots::new(view.slots);
+        let slots = WorkSlots::new(view.slots, self.parts.decisions);
         slots.change(|queue, _| queue.set_cold_until(view.cold_until));
         let stop = CancellationToken::new();
         self.parts.background.spawn(slots.clone().run_clock(stop.clone()));
--- a/crates/yuccarackd/src/coordination/routed/gate/work_slots.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/work_slots.rs
@@ -5,6 +5,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, futures::Notified, oneshot};
 use tokio_util::sync::CancellationToken;
+use yuccarack_config::decisions::Decisions;
 use yuccarack_policy::{
     placement::GateLoad,
     work_queue::{
@@ -39,8 +40,9 @@
 
 impl WorkSlots {
     /// Makes the slots of a target that runs `slots` at once.
-    pub fn new(slots: u16) -> Self {
-        let state = State { queue: WorkQueue::new(slots), waiting: HashMap::new() };
+    pub fn new(slots: u16, decisions: Decisions) -> Self {
+        let queue = WorkQueue::new(slots).with_decisions(decisions);
+        let state = State { queue, waiting: HashMap::new() };
         Self {
             shared: Arc::new(Shared {
                 state: Mutex::new(state),
--- a/crates/yuccarackd/src/daemon/routed/wiring.rs
+++ b/crates/yuccarackd/src/daemon/routed/wiring.rs
@@ -70,6 +70,7 @@
             upstream: self.upstream.clone(),
             counters: self.counters.clone(),
             metrics: self.metrics.clone(),
+            decisions: self.settings.current().decisions,
             events: self.events.clone(),
             background: self.tasks.rest.clone(),
             leaving: self.stops.gate_leaving.clone(),
