--- a/crates/yuccarack_policy/src/pace_looks.rs
+++ b/crates/yuccarack_policy/src/pace_looks.rs
@@ -10,9 +10,13 @@
 
 use crate::pace::Pace;
 
-/// Age of the newest word of the pace from which the target is asked; a sixth of the time for which a
-/// pace lasts.
-pub const LOOK_AGE: Duration = Duration::from_millis(50);
+/// Least age of the newest word of the pace from which the target is asked; a sixth of the time for
+/// which a pace lasts.
+pub const LOOK_AGE_MIN: Duration = Duration::from_millis(50);
+
+/// Share of the mean work that this age has at least: long work sees several paces in any case, and
+/// the one at its start says less of its end.
+const LOOK_AGE_SHARE: f64 = 0.5;
 
 /// Longest wait for the answer, which tells nothing new after that.
 pub const LOOK_TIMEOUT: Duration = Duration::from_millis(40);
@@ -45,11 +49,11 @@
         Self::default()
     }
 
-    /// When the next look is due at a target with so many requests `running`, by what is known of its
-    /// pace; none while it has no work, or has never told a pace.
-    pub fn due_at(&self, running: usize, pace: &Pace) -> Option<Instant> {
+    /// When the next look is due at a target with so many requests `running` of such mean work, by
+    /// what is known of its pace; none while it has no work, or has never told a pace.
+    pub fn due_at(&self, running: usize, mean_work: Duration, pace: &Pace) -> Option<Instant> {
         let reported_at = pace.reported_at().filter(|_| running > 0)?;
-        let due_at = reported_at + LOOK_AGE;
+        let due_at = reported_at + LOOK_AGE_MIN.max(mean_work.mul_f64(LOOK_AGE_SHARE));
         Some(self.paused_until.map_or(due_at, |until| until.max(due_at)))
     }
 
--- a/crates/yuccarack_policy/tests/pace_looks.rs
+++ b/crates/yuccarack_policy/tests/pace_looks.rs
@@ -4,9 +4,12 @@
 
 use yuccarack_policy::{
     pace::Pace,
-    pace_looks::{LOOK_AGE, Looked, PaceLooks},
+    pace_looks::{LOOK_AGE_MIN, Looked, PaceLooks},
 };
 
+/// Mean work of a target with short work.
+const WORK: Duration = Duration::from_millis(60);
+
 /// How long a pace lasts, and how often it changes to a slow one.
 const SPELL_MS: u64 = 300;
 
@@ -24,7 +27,7 @@
         let slowness = if is_slow { 4.0 } else { 1.0 };
         let since_start = now.duration_since(start).as_millis() as u64;
         let is_answer = since_start % answer_ms == answer_ms - 1;
-        let is_look = with_looks && looks.due_at(1, &pace).is_some_and(|at| at <= now);
+        let is_look = with_looks && looks.due_at(1, WORK, &pace).is_some_and(|at| at <= now);
         if is_look {
             looks.looked(now, Looked::Told);
         }
@@ -44,7 +47,7 @@
     assert!(known_after(170, false) > Duration::from_millis(30));
     for answer_ms in [90, 130, 170, 250] {
         let known = known_after(answer_ms, true);
-        assert!(known <= LOOK_AGE, "{answer_ms}: {known:?}");
+        assert!(known <= LOOK_AGE_MIN, "{answer_ms}: {known:?}");
     }
 }
 
@@ -54,17 +57,28 @@
 fn only_a_target_that_works_and_is_not_heard_of_is_asked() {
     let now = Instant::now();
     let (mut pace, looks) = (Pace::new(), PaceLooks::new());
-    assert_eq!(looks.due_at(3, &pace), None);
+    assert_eq!(looks.due_at(3, WORK, &pace), None);
     pace.reported(now, 1.0);
-    assert_eq!(looks.due_at(0, &pace), None);
-    assert_eq!(looks.due_at(3, &pace), Some(now + LOOK_AGE));
+    assert_eq!(looks.due_at(0, WORK, &pace), None);
+    assert_eq!(looks.due_at(3, WORK, &pace), Some(now + LOOK_AGE_MIN));
     for step in 1..100 {
         pace.reported(now + Duration::from_millis(20) * step, 1.0);
         let at = now + Duration::from_millis(20) * (step + 1);
-        assert!(looks.due_at(3, &pace).is_some_and(|due_at| due_at > at));
+        assert!(looks.due_at(3, WORK, &pace).is_some_and(|due_at| due_at > at));
     }
 }
 
+/// Long work sees several paces whatever it starts with, and a target that is asked for each of them
+/// is asked more often than it gets requests.
+#[test]
+fn a_target_of_long_work_is_asked_less_often() {
+    let now = Instant::now();
+    let (mut pace, looks) = (Pace::new(), PaceLooks::new());
+    pace.reported(now, 1.0);
+    let long = Duration::from_millis(240);
+    assert_eq!(looks.due_at(2, long, &pace), Some(now + long / 2));
+}
+
 /// Story: a target hangs or has no such endpoint. It is asked less and less, and as before once it
 /// answers.
 #[test]
@@ -74,7 +88,7 @@
     pace.reported(start, 1.0);
     let (mut now, mut asked) = (start, 0);
     while now < start + Duration::from_secs(30) {
-        match looks.due_at(1, &pace) {
+        match looks.due_at(1, WORK, &pace) {
             Some(at) if at <= now => {
                 asked += 1;
                 looks.looked(now, Looked::InVain);
@@ -85,5 +99,5 @@
     assert!(asked <= 16, "{asked} looks in half a minute");
     looks.looked(now, Looked::Told);
     pace.reported(now, 1.0);
-    assert_eq!(looks.due_at(1, &pace), Some(now + LOOK_AGE));
+    assert_eq!(looks.due_at(1, WORK, &pace), Some(now + LOOK_AGE_MIN));
 }
--- a/crates/yuccarackd/src/coordination/routed/gate/pace_looks.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/pace_looks.rs
@@ -31,7 +31,8 @@
     loop {
         let started = open.slots.started();
         let now = Instant::now();
-        let due_at = open.slots.read(|queue| looks.due_at(queue.running(), queue.pace()));
+        let due_at =
+            open.slots.read(|queue| looks.due_at(queue.running(), queue.mean_work(), queue.pace()));
         match due_at {
             None => started.await,
             Some(at) if at > now => sleep_until(at.into()).await,
