--- a/crates/yuccarack_policy/src/work_queue/times.rs
+++ b/crates/yuccarack_policy/src/work_queue/times.rs
@@ -22,7 +22,7 @@
 const BUSY_WEIGHT: f64 = 0.02;
 
 /// Deviations by which a time that most work keeps lies above the mean.
-const LIKELY_DEVIATIONS: f64 = 2.0;
+const LIKELY_DEVIATIONS: f64 = 1.0;
 
 /// Smoothed time of one kind.
 #[derive(Clone, Copy, Debug)]
