--- a/crates/yuccarack_config/src/routing.rs
+++ b/crates/yuccarack_config/src/routing.rs
@@ -30,7 +30,7 @@
         pub path_prefix: String,
         /// Whether a request may run more than once.
         pub is_repeatable: bool,
-        /// Whether requests carry large bodies; a gate is asked for a slot before one is sent.
+        /// Whether requests carry large bodies, as operators say; decisions go by the size of each.
         #[serde(default)]
         pub is_upload: bool,
         /// Services that take the route's requests, each with its share.
--- a/crates/yuccarack_policy/tests/futile_runs.rs
+++ b/crates/yuccarack_policy/tests/futile_runs.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use yuccarack_policy::futile_runs::{FutileRuns, RunResult, Shortage};
+use yuccarack_policy::futile_runs::{FutileRuns, RunResult, Shortages};
 
 /// Requests of the calling service in a tick of 10 ms.
 const PARENTS: usize = 4;
@@ -26,7 +26,7 @@
 /// Plays `ticks` of 10 ms in which the small service runs `room` requests each.
 fn play(ticks: usize, room: impl Fn(usize) -> usize, is_on: bool) -> Played {
     let mut rng = SmallRng::seed_from_u64(7);
-    let (mut futile, mut shortage) = (FutileRuns::new(), Shortage::default());
+    let (mut futile, mut shortages) = (FutileRuns::new(), Shortages::new());
     let (mut played, start) = (Played::default(), Instant::now());
     for tick in 0..ticks {
         let now = start + Duration::from_millis(10) * tick as u32;
@@ -45,7 +45,7 @@
             room -= got;
             let is_whole = got == wanted;
             if !is_whole {
-                shortage.refused(now);
+                shortages.refused(now, "small");
             }
             match (is_parent, is_whole) {
                 (true, true) => played.good += 1,
@@ -56,7 +56,7 @@
             if is_parent {
                 played.runs += 1;
                 let result = if is_whole { RunResult::Good } else { RunResult::Failed };
-                futile.ended(result, shortage.is_short(now));
+                futile.ended(result, shortages.is_another_short(now, "large"));
             }
         }
     }
@@ -99,3 +99,36 @@
     }
     assert!((futile.share() - 1.0).abs() < f64::EPSILON);
 }
+
+/// Story: one of six targets fails most of its requests by itself, and another service is short at the
+/// same time. The requests of this service don't call it, and the five other targets serve them.
+#[test]
+fn runs_that_fail_as_often_without_a_shortage_are_let_in() {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut futile = FutileRuns::new();
+    let mut run = |is_short| {
+        let result = if rng.random_bool(0.08) { RunResult::Failed } else { RunResult::Good };
+        futile.ended(result, is_short);
+        futile.share()
+    };
+    let calm: Vec<f64> = (0..300).map(|_| run(false)).collect();
+    assert!(calm.iter().all(|share| *share >= 1.0));
+    let short: Vec<f64> = (0..3_000).map(|_| run(true)).collect();
+    let let_in = short.iter().sum::<f64>() / short.len() as f64;
+    assert!(let_in > 0.95, "{let_in}");
+}
+
+/// A service's own refusals say nothing of its runs that fail, whichever service refused last.
+#[test]
+fn only_another_service_counts() {
+    let now = Instant::now();
+    let mut shortages = Shortages::new();
+    assert!(!shortages.is_another_short(now, "large"));
+    shortages.refused(now, "large");
+    assert!(!shortages.is_another_short(now, "large"));
+    assert!(shortages.is_another_short(now, "small"));
+    shortages.refused(now, "small");
+    shortages.refused(now + Duration::from_millis(10), "large");
+    assert!(shortages.is_another_short(now, "large"));
+    assert!(!shortages.is_another_short(now + Duration::from_secs(1), "large"));
+}
--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -6,11 +6,11 @@
 mod prober;
 mod route_load;
 mod service;
+mod story;
 mod tries;
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -32,15 +32,10 @@
     head::RoutedHead,
     route_load::RouteLoads,
     service::{Followed, RoutedService},
+    story::{Story, end_of},
     tries::Tries,
 };
-use super::{
-    deadline::CallDeadline,
-    events::EventLog,
-    gate::Gate,
-    lines::{CallAnswered, CallFailed},
-    peers::Peers,
-};
+use super::{deadline::CallDeadline, events::EventLog, gate::Gate, peers::Peers};
 use crate::{
     coordination::entry::fate::Fate,
     protocol::{
@@ -138,48 +133,6 @@
     }
 }
 
-/// What is known of a call, for its log line.
-struct Story {
-    came_at: Instant,
-    peer: SocketAddr,
-    request: String,
-    route: String,
-    service: ServiceName,
-    routing_version: u64,
-    gates: AskedGates,
-}
-
-impl Story {
-    fn new(came_at: Instant, peer: SocketAddr) -> Self {
-        Self {
-            came_at,
-            peer,
-            request: String::new(),
-            route: String::new(),
-            service: String::new(),
-            routing_version: 0,
-            gates: AskedGates::default(),
-        }
-    }
-
-    /// The line of its failure, without what tells why.
-    fn failed(&self, took_ms: u64) -> CallFailed {
-        CallFailed {
-            request: self.request.clone(),
-            peer: self.peer.to_string(),
-            route: self.route.clone(),
-            service: self.service.clone(),
-            status: None,
-            reason: None,
-            outcome: None,
-            retry_after_ms: None,
-            gates: self.gates.text(),
-            routing_version: self.routing_version,
-            took_ms,
-        }
-    }
-}
-
 impl RoutedEntry {
     /// Makes an entry that has served nothing yet.
     pub fn new(parts: RoutedEntryParts) -> Self {
@@ -212,12 +165,12 @@
             .ok_or(Refusal::not_run(Reason::UnknownRoute))?;
         story.route.clone_from(&route.name);
         check_size(&routing, &parts)?;
-        let call = self.read(&routing, route, head, parts, body, story.came_at).await?;
-        story.service.clone_from(&call.service);
-        let kind = call.kind;
+        let kind = kind_of(route);
         if !self.loads.lets_in(kind) {
             return Err(Refusal::not_run(Reason::ShortElsewhere));
         }
+        let call = self.read(&routing, route, head, parts, body, story.came_at).await?;
+        story.service.clone_from(&call.service);
         let result = self.run(call, &story.gates).await;
         self.learn(kind, &story.service, &result);
         result
@@ -234,7 +187,7 @@
     ) -> Result<RoutedCall, Refusal> {
         let wait_by = came_at + Duration::from_millis(route.wait_max_ms.into());
         let by = head.deadline.map_or(wait_by, |deadline| deadline.min(wait_by));
-        let kind = xxh3_64(route.name.as_bytes());
+        let kind = kind_of(route);
         let waited = match head.deadline {
             Some(by) => {
                 let left = by.saturating_duration_since(came_at);
@@ -295,21 +248,14 @@
         let now = Instant::now();
         match result {
             Ok(answer) if answer.status().is_server_error() => {
-                let is_short = self.is_another_short(now, service);
-                self.loads.ran(kind, RunResult::Failed, is_short);
+                self.loads.ran(now, kind, service, RunResult::Failed);
             }
-            Ok(_) => self.loads.ran(kind, RunResult::Good, false),
+            Ok(_) => self.loads.ran(now, kind, service, RunResult::Good),
             Err(refusal) if refusal.is_not_run() => self.loads.refused(now, kind),
             Err(_) => {}
         }
     }
 
-    /// Whether a service other than `own` turns requests away.
-    fn is_another_short(&self, now: Instant, own: &str) -> bool {
-        let services = self.services.lock();
-        services.iter().any(|(name, service)| name != own && service.is_short(now))
-    }
-
     fn service_of(&self, route: &Route) -> Result<ServiceName, Refusal> {
         if let [only] = route.split.as_slice() {
             return Ok(only.service.clone());
@@ -374,43 +320,11 @@
         }
         answer
     }
-
-    fn note_answered(&self, answer: &Response<CallBody>, story: &Story, took_ms: u64) {
-        let status = answer.status().as_u16();
-        if !answer.status().is_success() {
-            let status = Some(status);
-            return self.parts.events.write(|| CallFailed { status, ..story.failed(took_ms) });
-        }
-        self.parts.events.write(|| CallAnswered {
-            request: story.request.clone(),
-            peer: story.peer.to_string(),
-            route: story.route.clone(),
-            service: story.service.clone(),
-            status,
-            gates: story.gates.text(),
-            routing_version: story.routing_version,
-            took_ms,
-        });
-    }
-
-    fn note_refused(&self, refusal: &Refusal, story: &Story, took_ms: u64) {
-        self.parts.counters.add_reason(REFUSED, refusal.reason.as_str());
-        self.parts.events.write(|| CallFailed {
-            reason: Some(refusal.reason.as_str()),
-            outcome: Some(refusal.outcome.as_str()),
-            retry_after_ms: refusal.retry_after.map(|wait| wait.as_millis() as u64),
-            ..story.failed(took_ms)
-        });
-    }
 }
 
-/// How a call ended, for its histogram.
-fn end_of(result: &Result<Response<CallBody>, Refusal>) -> &'static str {
-    match result {
-        Ok(answer) if answer.status().is_server_error() => "target_failed",
-        Ok(_) => "answered",
-        Err(refusal) => refusal.outcome.as_str(),
-    }
+/// Requests of one route take alike long and are called by alike callers.
+fn kind_of(route: &Route) -> u64 {
+    xxh3_64(route.name.as_bytes())
 }
 
 fn no_routing() -> Refusal {
--- a/crates/yuccarackd/src/coordination/routed/entry/route_load.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/route_load.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use yuccarack_config::decisions::Decisions;
 use yuccarack_policy::{
-    futile_runs::{FutileRuns, RunResult},
+    futile_runs::{FutileRuns, RunResult, Shortages},
     patience::Patience,
 };
 
@@ -19,6 +19,7 @@
 pub struct RouteLoads {
     decisions: Decisions,
     by_kind: Mutex<HashMap<u64, RouteLoad>>,
+    shortages: Mutex<Shortages>,
 }
 
 #[derive(Default)]
@@ -30,7 +31,7 @@
 impl RouteLoads {
     /// Starts without knowing anything.
     pub fn new(decisions: Decisions) -> Self {
-        Self { decisions, by_kind: Mutex::default() }
+        Self { decisions, by_kind: Mutex::default(), shortages: Mutex::default() }
     }
 
     /// Time for which the caller of a request that comes `now` has waited before it sent this one.
@@ -52,8 +53,14 @@
         self.with(kind, |load| load.patience.refused(now));
     }
 
-    /// Notes how a run of `kind` ended while another service was short or not.
-    pub fn ran(&self, kind: u64, result: RunResult, is_short: bool) {
+    /// Notes that `service` turned a request away for want of room.
+    pub fn short(&self, now: Instant, service: &str) {
+        self.shortages.lock().refused(now, service);
+    }
+
+    /// Notes how a run of `kind` at `service` ended.
+    pub fn ran(&self, now: Instant, kind: u64, service: &str, result: RunResult) {
+        let is_short = self.shortages.lock().is_another_short(now, service);
         self.with(kind, |load| load.futile_runs.ended(result, is_short));
     }
 
--- a/crates/yuccarackd/src/coordination/routed/entry/service.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/service.rs
@@ -16,7 +16,6 @@
 };
 use yuccarack_policy::{
     extra_tries::{BadTry, ExtraTries, NoMore},
-    futile_runs::Shortage,
     placement::{Asked, GateKey, GateLoad, Placement, TryEnd},
 };
 
@@ -37,7 +36,6 @@
     chosen_by: SecondaryMap<GateKey, Arc<RoutedMember>>,
     extra_tries: ExtraTries,
     mean_work: Option<Duration>,
-    shortage: Shortage,
     rng: SmallRng,
 }
 
@@ -83,7 +81,6 @@
             chosen_by: SecondaryMap::new(),
             extra_tries: ExtraTries::new(bounds.extra_tries_percent, bounds.extra_tries, entries),
             mean_work: None,
-            shortage: Shortage::default(),
             rng: SmallRng::from_rng(&mut rand::rng()),
         };
         Self { state: Mutex::new(state) }
@@ -136,16 +133,6 @@
         Some(ChosenGate { key: placed.gate, member, may_wait: placed.may_wait })
     }
 
-    /// Notes that a request found no room at any gate that was asked.
-    pub fn refused(&self, now: Instant) {
-        self.state.lock().shortage.refused(now);
-    }
-
-    /// Whether it turns requests away for want of room.
-    pub fn is_short(&self, now: Instant) -> bool {
-        self.state.lock().shortage.is_short(now)
-    }
-
     /// Where gates would be that can't be reached.
     pub fn unreachable(&self) -> Vec<(GateKey, SocketAddr)> {
         let state = self.state.lock();
--- a/crates/yuccarackd/src/coordination/routed/entry/tries.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/tries.rs
@@ -80,7 +80,7 @@
     pub async fn run(mut self) -> Result<Response<CallBody>, Refusal> {
         let result = self.run_all().await;
         if result.as_ref().is_err_and(is_for_want_of_room) {
-            self.service.refused(Instant::now());
+            self.entry.loads.short(Instant::now(), &self.call.service);
         }
         self.entry.parts.metrics.tried(self.asked.count());
         result
