Soak: callers that send ahead

Cause: no walk had callers that send requests behind each other; early reads, closes and stops meet there. Checked with the others: own whole answers in order, orders once, planned stops lose nothing that was passed on; what was sent behind an answer that closes the connection counts as not read and must not have run.

--- a/crates/yuccarackd/tests/routed/soak/callers.rs
+++ b/crates/yuccarackd/tests/routed/soak/callers.rs
@@ -16,7 +16,7 @@
 use yuccarack_platform_standin::caller::{Call, KeptConnection, Told, Unanswered};
 use yuccarack_standins::client::{Asker, Question};
 
-use super::plan::Plan;
+use super::{ahead::AheadCaller, plan::Plan};
 use crate::support::{ORDERS, READS};
 
 /// Host of the routes that each version adds one of.
@@ -68,6 +68,8 @@
     pub was_ready: bool,
     /// Whether its caller left before it could be answered.
     pub has_left: bool,
+    /// Whether it was sent behind a request whose answer closed the connection.
+    pub is_behind_close: bool,
 }
 
 /// A version of the routes, and when the operator wrote it.
@@ -110,6 +112,12 @@
                 tasks.spawn(caller.call_until(stop.clone(), random));
             }
         }
+        for (instance, door) in doors.iter().enumerate().filter(|_| plan.sends_ahead) {
+            let random = StdRng::seed_from_u64(seed ^ !(instance as u64));
+            let name = format!("a{seed}-{instance}");
+            let caller = AheadCaller { name, instance, address: door.calls };
+            tasks.spawn(caller.call_until(stop.clone(), random));
+        }
         let looker = Looker { seed, doors: doors.to_vec(), versions: Arc::clone(versions) };
         tasks.spawn(looker.look_until(stop.clone()));
         Self { tasks, stop }
@@ -152,7 +160,18 @@
                 Some(ms) => self.ask_and_leave(&call, Duration::from_millis(ms)).await,
             };
             let (instance, ended_at, was_ready) = (self.instance, Instant::now(), false);
-            all.push(Ended { id, instance, kind, sent_at, ended_at, result, was_ready, has_left });
+            let is_behind_close = false;
+            all.push(Ended {
+                id,
+                instance,
+                kind,
+                sent_at,
+                ended_at,
+                result,
+                was_ready,
+                has_left,
+                is_behind_close,
+            });
             sleep(PAUSE).await;
         }
         all
@@ -212,7 +231,18 @@
             let result = caller.ask(&call).await;
             let (kind, ended_at) = (Kind::Versioned(written), Instant::now());
             let has_left = false;
-            all.push(Ended { id, instance, kind, sent_at, ended_at, result, was_ready, has_left });
+            let is_behind_close = false;
+            all.push(Ended {
+                id,
+                instance,
+                kind,
+                sent_at,
+                ended_at,
+                result,
+                was_ready,
+                has_left,
+                is_behind_close,
+            });
         }
         all
     }
--- a/crates/yuccarackd/tests/routed/soak/judge.rs
+++ b/crates/yuccarackd/tests/routed/soak/judge.rs
@@ -155,6 +155,10 @@
         if ended.has_left {
             return true;
         }
+        // It counts as not read and is sent again, so it must not have been passed on.
+        if ended.is_behind_close {
+            return ran == 0;
+        }
         let at = ended.instance;
         let is_cut_off = |fault| matches!(fault, Fault::KilledDaemon(hit) | Fault::FrozenDaemon(hit) if hit == at);
         if self.any(ended, is_cut_off) {
--- a/crates/yuccarackd/tests/routed/soak/mod.rs
+++ b/crates/yuccarackd/tests/routed/soak/mod.rs
@@ -4,6 +4,7 @@
 //! `YUCCARACK_WALK_MINUTES` the time and `YUCCARACK_WALK_INSTANCES` the size; without it odd seeds
 //! walk under pressure.
 
+mod ahead;
 mod callers;
 mod judge;
 mod plan;
@@ -35,6 +36,9 @@
 /// Seeds of walks under pressure that run with the other tests, one for each of its loads.
 const SEEDS_PRESSED: [u64; 3] = [3, 4, 5];
 
+/// Seeds of walks whose callers send ahead that run with the other tests.
+const SEEDS_AHEAD: [u64; 3] = [6, 7, 8];
+
 /// Walks that run at once.
 const WALKS_AT_ONCE: usize = 3;
 
@@ -76,6 +80,12 @@
     check(SEEDS_PRESSED.into_iter().map(Plan::pressed).collect()).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn faults_break_no_promise_to_callers_that_send_ahead() {
+    let plan = |seed| Plan::new(seed, INSTANCES).with_ahead();
+    check(SEEDS_AHEAD.into_iter().map(plan).collect()).await;
+}
+
 /// Runs only with `YUCCARACK_WALK_MINUTES`, as `scripts/soak` sets it. A seed that fails is told with
 /// its plan and with the faults of it that are enough; the next seeds run all the same.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -92,6 +102,7 @@
             None if seed.is_multiple_of(2) => Plan::new(seed, INSTANCES),
             None => Plan::pressed(seed),
         };
+        let plan = if seed.is_multiple_of(3) { plan.with_ahead() } else { plan };
         let record = Walk::run(&plan).await;
         let breaches = judge(&record);
         println!("seed {seed}: {} faults, {} calls", plan.events.len(), record.ended.len());
--- a/crates/yuccarackd/tests/routed/soak/plan.rs
+++ b/crates/yuccarackd/tests/routed/soak/plan.rs
@@ -104,6 +104,8 @@
     pub callers: usize,
     /// Targets that a request may run on.
     pub targets_max: u32,
+    /// Whether one more caller of each instance sends requests ahead.
+    pub sends_ahead: bool,
     /// Faults, in no order.
     pub events: Vec<Event>,
 }
@@ -130,7 +132,21 @@
                 fault,
             });
         }
-        Self { seed, instances, domains: 3, callers: CALLERS, targets_max: TARGETS_MAX, events }
+        Self {
+            seed,
+            instances,
+            domains: 3,
+            callers: CALLERS,
+            targets_max: TARGETS_MAX,
+            sends_ahead: false,
+            events,
+        }
+    }
+
+    /// The plan with a caller more at each instance, which sends requests ahead.
+    pub fn with_ahead(mut self) -> Self {
+        self.sends_ahead = true;
+        self
     }
 
     /// Such faults, and one of three loads that few of them bring about: all daemons start while no
@@ -171,8 +187,7 @@
                 events.push(Event { at_ms: step * STEP_MS, for_ms: STEP_MS * 4 / 5, fault });
             }
         }
-        let (callers, targets_max) = (CALLERS, TARGETS_MAX);
-        Self { seed, instances: INSTANCES, domains: 3, callers, targets_max, events }
+        Self { events, ..Self::new(seed, INSTANCES) }
     }
 
     /// Where proxies stand at an instance: on the links that are disturbed, and on no others.
