--- a/crates/yuccarack_policy/src/pace_looks.rs
+++ b/crates/yuccarack_policy/src/pace_looks.rs
@@ -1,10 +1,10 @@
 //! When a gate asks its target for the pace.
 //!
 //! The pattern is a target that few requests reach and whose neighbours slow it down several times a
-//! second. Each answer tells its pace, but with some twenty answers a second the gate learns of a slow
-//! spell when a third of it is over, and lets in what would have been answered in time elsewhere. So
-//! it asks a target that works when no answer has told the pace for a while. A target under load is
-//! never asked, since its answers tell enough, nor one without work.
+//! second. Each answer tells its pace, but where answers are few the gate learns of a slow spell late,
+//! and until then lets in what would have been answered in time elsewhere. So it asks a target that
+//! works when no answer has told the pace for a while. A target under load is never asked, since its
+//! answers tell enough, nor one without work.
 
 use std::time::{Duration, Instant};
 
--- a/crates/yuccarackd/src/coordination/routed/gate/pace_looks.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/pace_looks.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Instant};
 
-use bytes::Bytes;
 use http::{HeaderValue, Request, header};
 use tokio::time::{sleep_until, timeout_at};
 use yuccarack_platform_wire::{headers, load};
@@ -71,7 +70,6 @@
     let is_own = answer.headers().get(headers::TARGET)? == open.view.target.as_str();
     let percent = load::decode(answer.headers()).and_then(|load| load.pace_percent);
     // Read to its end, so that the connection can be used again.
-    let read = BodyStart::read(answer.into_body(), ANSWER_MAX_BYTES).await.ok()?;
-    let _whole: Bytes = read.start;
+    BodyStart::read(answer.into_body(), ANSWER_MAX_BYTES).await.ok()?;
     percent.filter(|_| is_own)
 }
--- a/crates/yuccarackd/src/transport/pipelining/early.rs
+++ b/crates/yuccarackd/src/transport/pipelining/early.rs
@@ -72,7 +72,7 @@
             && self.head.headers == head.headers
     }
 
-    /// Its answer; none when its task has failed, and it has to run anew.
+    /// Its answer; none when its task has failed, which has told why by itself, and it has to run anew.
     pub async fn answer(self) -> Option<Response<CallBody>> {
         self.call.await.ok()
     }
--- a/crates/yuccarackd/tests/routed/pipelining.rs
+++ b/crates/yuccarackd/tests/routed/pipelining.rs
@@ -213,3 +213,20 @@
     let status = timeout(Duration::from_secs(6), daemon.ended()).await;
     assert!(status.expect("an end in time").expect("a status").success());
 }
+
+/// Story: a caller sends reads ahead without end and reads no answer. What a daemon keeps of it is
+/// bounded: it stops reading, so that the caller can't write any more.
+#[tokio::test]
+async fn a_caller_that_sends_without_end_is_held_up() {
+    let deployment = behaving("endless", Duration::from_millis(1_200)).await;
+    let mut caller = open(&deployment).await;
+    let many = reads(2_000, "n");
+    let mut sent = 0;
+    while sent < 400 && timeout(Duration::from_millis(300), caller.send(&many)).await.is_ok() {
+        sent += 1;
+    }
+    assert!(sent < 400, "some {} MB were taken", sent * many.len() / 10_000);
+    let daemon = deployment.instances[0].daemon.as_ref().expect("a daemon");
+    let most_kib = daemon.memory_most_kib().expect("its memory");
+    assert!(most_kib < 40 * 1024, "{most_kib} KiB");
+}
--- a/crates/yuccarackd/tests/routed/uploads.rs
+++ b/crates/yuccarackd/tests/routed/uploads.rs
@@ -194,6 +194,24 @@
     wait("room after it", is_served).await;
 }
 
+/// Story: a caller sends more than it announced. The target gets just what was announced; the rest is
+/// no request, and must not be read as one.
+#[tokio::test]
+async fn a_body_beyond_its_announced_length_is_no_request() {
+    let deployment = with_uploads("longer", &["board"]).await;
+    let mut stream = TcpStream::connect(deployment.instances[0].call_address()).await.expect("one");
+    let body = mixed(100_000, 6);
+    let sent = [head("b1", body.len()).as_bytes(), &body, b"xx GET /u/1 HTTP/1.1\r\n\r\n"].concat();
+    stream.write_all(&sent).await.expect("sent");
+    let mut told = Vec::new();
+    let _ = timeout(Duration::from_secs(2), stream.read_to_end(&mut told)).await;
+    let told = String::from_utf8_lossy(&told);
+    assert!(told.starts_with("HTTP/1.1 200"), "{told}");
+    let runs = runs(&deployment);
+    assert_eq!(runs.len(), 1, "{told}");
+    assert_eq!((runs[0].body_bytes, runs[0].body_hash), (body.len(), xxh3_64(&body)));
+}
+
 fn head(id: &str, bytes: usize) -> String {
     format!(
         "POST /u/1 HTTP/1.1\r\nHost: {UPLOADS}\r\nYuccarack-Request-Id: {id}\r\n\
