Test: an upload of a routing file doesn't repeat, and a misspelt field is told

Cause: the check that came with is_upload had no test, and data that daemons exchange passes over unknown fields now; files of operators must not. Seen: both faults are told with their paths.

--- a/crates/yuccarack_config/tests/routing_file.rs
+++ b/crates/yuccarack_config/tests/routing_file.rs
@@ -69,3 +69,16 @@
     other["format"] = json!(2);
     assert_eq!(faults(&other), ["format"]);
 }
+
+/// An upload is sent once; a file that says otherwise is a mistake, and so is a field that isn't known.
+#[test]
+fn an_upload_does_not_repeat() {
+    let mut upload = file();
+    upload["routes"][0]["is_upload"] = json!(true);
+    assert_eq!(faults(&upload), ["routes[0].is_repeatable"]);
+    upload["routes"][0]["is_repeatable"] = json!(false);
+    let table = RoutingFile::parse(upload.to_string().as_bytes()).expect("a file").into_table();
+    assert!(table.routes[0].is_upload && !table.routes[0].is_repeatable);
+    upload["routes"][0]["is_uplaod"] = json!(true);
+    assert_eq!(faults(&upload), ["routes[0].is_uplaod"]);
+}
