A storm of deaths brings refusals to judge by itself

What was refused there before were large bodies at the one gate that was asked. Ruled out: a wrong word (breaches are empty in each run). Change: all targets shed for a while at the end, as in broken_links_never_turn_a_run_into_not_run, so that there is always something to judge; deaths, bounds and checks are as they were.

--- a/crates/yuccarackd/tests/point_3_not_run_is_true.rs
+++ b/crates/yuccarackd/tests/point_3_not_run_is_true.rs
@@ -57,11 +57,16 @@
         link.cut_now();
     }
     // Cuts alone may leave no refusal to judge: on a busy machine most calls end as unknown.
+    shed_everywhere(&fleet, &storm).await;
+    conclude(fleet, storm).await;
+}
+
+/// All targets turn everything away for a while, so that there are refusals to judge.
+async fn shed_everywhere(fleet: &Fleet, storm: &Storm) {
     let shed = TargetFaults { refuse_all: true, ..Default::default() };
     fleet.nodes.iter().for_each(|node| node.target.set_faults(shed.clone()));
-    fleet.more_calls(&storm, CALLS_BETWEEN).await;
+    fleet.more_calls(storm, CALLS_BETWEEN).await;
     fleet.nodes.iter().for_each(|node| node.target.set_faults(TargetFaults::default()));
-    conclude(fleet, storm).await;
 }
 
 /// The first gate's link breaks after its target has run the request; the next gates shed it and
@@ -111,6 +116,8 @@
         let address = fleet.nodes[victim].call_address();
         until("the victim serves again", || fleet.read(address, SERVICE)).await;
     }
+    // Deaths alone leave few: what one gate refuses goes on to another, large bodies too.
+    shed_everywhere(&fleet, &storm).await;
     conclude(fleet, storm).await;
 }
 
