Observability: how far a daemon is behind the newest routing table, and why a fetch failed

What the incident's record could not tell apart: whether a transfer from a peer ran beside one from the store, and which version a daemon had. Scrapers that keep 4 KiB got histograms only, so gauges and counters come first now. New gauges routing_newest_version and routing_behind_milliseconds; routing_in_force says how long the daemon was behind; routing_not_read is written for peers too, with the source, both versions and the time taken. No decision changes.

Test: metrics_text (fails on the order before: the first 4 KiB are histograms).

--- a/crates/yuccarackd/src/coordination/routed/events.rs
+++ b/crates/yuccarackd/src/coordination/routed/events.rs
@@ -23,17 +23,20 @@
     Heartbeat,
     /// Another instance serves something else than before.
     MemberChanged,
+    /// A routing table could not be fetched.
+    RoutingNotRead,
     /// A relay tells, or no longer does; lost ones are asked again each second or so.
     Relay,
 }
 
-const KINDS: [EventKind; 7] = [
+const KINDS: [EventKind; 8] = [
     EventKind::CallAnswered,
     EventKind::CallFailed,
     EventKind::TryEnded,
     EventKind::GateRefused,
     EventKind::Heartbeat,
     EventKind::MemberChanged,
+    EventKind::RoutingNotRead,
     EventKind::Relay,
 ];
 
@@ -46,6 +49,7 @@
             Self::GateRefused => "gate_refused",
             Self::Heartbeat => "heartbeat",
             Self::MemberChanged => "member_changed",
+            Self::RoutingNotRead => "routing_not_read",
             Self::Relay => "relay",
         }
     }
@@ -57,7 +61,7 @@
             Self::CallAnswered => 5.0,
             Self::CallFailed => 60.0,
             Self::TryEnded | Self::GateRefused => 40.0,
-            Self::Heartbeat | Self::MemberChanged | Self::Relay => 5.0,
+            Self::Heartbeat | Self::MemberChanged | Self::RoutingNotRead | Self::Relay => 5.0,
         }
     }
 }
--- a/crates/yuccarackd/src/coordination/routed/follow.rs
+++ b/crates/yuccarackd/src/coordination/routed/follow.rs
@@ -33,6 +33,9 @@
 /// Table in which each daemon keeps the row of its instance.
 pub const MEMBERS_TABLE: &str = "members";
 
+/// The store as the source of a routing table in log lines.
+const STORE: &str = "store";
+
 /// How long the store holds back an answer that tells of nothing new; each such question is paid
 /// for, and the store takes no longer ones than 30 s.
 const FEED_WAIT: Duration = Duration::from_secs(25);
@@ -125,11 +128,14 @@
 
     /// Reads the operators' document once.
     pub async fn read_routing(&self) {
+        let started_at = Instant::now();
         match self.store.read(routing::TABLE).await {
             Ok(all) => all.rows.into_iter().for_each(|row| self.take_routing(row)),
             Err(error) => {
                 self.counters.add("store.failures");
-                self.events.write(|| RoutingNotRead { cause: error.to_string() });
+                let cause = error.to_string();
+                let source = STORE.to_owned();
+                self.events.write(|| not_read(source, &self.routing, started_at, cause));
             }
         }
     }
@@ -215,9 +221,10 @@
         match routing::decode(&text) {
             Ok(document) => {
                 let version = document.table.version;
+                let behind_ms = whole_ms(self.routing.behind_for());
                 if self.routing.offer(document.table) {
-                    let (revision, from) = (Some(row.revision), "store".to_owned());
-                    self.events.write(|| RoutingInForce { version, revision, from });
+                    let (revision, from) = (Some(row.revision), STORE.to_owned());
+                    self.events.write(|| RoutingInForce { version, revision, from, behind_ms });
                     self.note_substitutes(version, document.substitutes);
                 }
             }
@@ -279,6 +286,28 @@
     }
 }
 
+/// Line of a routing table that could not be fetched from `source` since `started_at`.
+pub(super) fn not_read(
+    source: String,
+    routing: &RoutingState,
+    started_at: Instant,
+    cause: String,
+) -> RoutingNotRead {
+    RoutingNotRead {
+        from: source,
+        in_force: routing.version(),
+        newest: routing.newest_version(),
+        behind_ms: whole_ms(routing.behind_for()),
+        took_ms: whole_ms(started_at.elapsed()),
+        cause,
+    }
+}
+
+/// A time in whole ms, for log lines.
+pub(super) fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn table(what: Followed) -> &'static str {
     match what {
         Followed::Routing => routing::TABLE,
--- a/crates/yuccarackd/src/coordination/routed/lines/news.rs
+++ b/crates/yuccarackd/src/coordination/routed/lines/news.rs
@@ -56,6 +56,8 @@
         revision: Option<Revision>,
         /// Who told: the store, or the address of a peer.
         from: String,
+        /// Time since a newer version than the one in force was first known of, in ms.
+        behind_ms: u64,
     }
 
     /// A field of the operators' document is missing or not understood, and was read in a safe sense.
@@ -84,9 +86,19 @@
         cause: String,
     }
 
-    /// A newer document was told of and could not be read of the store; a peer is asked for it.
-    RoutingNotRead = "routing_not_read", "operators' document not read", Warning, None;
+    /// A newer routing table could not be fetched from the store or a peer.
+    RoutingNotRead = "routing_not_read", "routing table not fetched", Warning, Some(EventKind::RoutingNotRead);
     {
+        /// The store, or the address of a peer.
+        from: String,
+        /// Version in force.
+        in_force: RoutingVersion,
+        /// Newest version that is known of.
+        newest: RoutingVersion,
+        /// Time since a newer version than the one in force was first known of, in ms.
+        behind_ms: u64,
+        /// Time that the transfer took until it failed, in ms.
+        took_ms: u64,
         /// Why.
         cause: String,
     }
--- a/crates/yuccarackd/src/coordination/routed/peers.rs
+++ b/crates/yuccarackd/src/coordination/routed/peers.rs
@@ -14,9 +14,10 @@
 use http_body_util::BodyExt;
 use parking_lot::Mutex;
 use rand::seq::IndexedRandom;
+use thiserror::Error;
 use tokio::{
     sync::Notify,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 use yuccarack_config::{ids::Revision, routing::RoutingVersion};
@@ -24,13 +25,14 @@
 
 use super::{
     events::EventLog,
+    follow::{not_read, whole_ms},
     lines::{MemberChanged, NewsNotWritten, RoutingInForce},
     relay_lines::RelayLines,
 };
 use crate::{
     coordination::jitter::jittered,
     protocol::{
-        body::{self, CallBody},
+        body::{self, BodyError, CallBody},
         forwarding,
         peer_news::{DatedMember, KnownUpTo, NEWS, NewsQuestion, PeerNews},
     },
@@ -69,6 +71,20 @@
 /// Most senders that are remembered to be asked while no member is known.
 const SENDERS_MAX: usize = 16;
 
+/// Why a peer gave no news.
+#[derive(Debug, Error)]
+enum PeerError {
+    /// It could not be asked.
+    #[error(transparent)]
+    NotSent(#[from] SendError),
+    /// Its answer broke off.
+    #[error(transparent)]
+    Cut(#[from] BodyError),
+    /// Its answer can't be read.
+    #[error("the answer can't be read: {0}")]
+    Malformed(#[from] serde_json::Error),
+}
+
 /// What a daemon wants to hear of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Wanted {
@@ -129,7 +145,7 @@
 
     /// Takes word that the daemon at `address` has the routing table of `version`.
     pub fn heard_version(&self, address: SocketAddr, version: RoutingVersion) {
-        if version > self.inner.parts.routing.version() {
+        if self.inner.parts.routing.note_version(version) {
             *self.inner.newer_at.lock() = Some((address, version));
             self.inner.heard.notify_one();
         }
@@ -260,22 +276,32 @@
         }
         let parts = &self.inner.parts;
         parts.counters.add("peers.asked");
-        match timeout(ANSWER_TIMEOUT, self.news_of(address, wanted)).await {
-            Ok(Some(news)) => self.take(address, news),
-            Ok(None) | Err(_) => parts.counters.add("peers.silent"),
+        let started_at = Instant::now();
+        let cause = match timeout(ANSWER_TIMEOUT, self.news_of(address, wanted)).await {
+            Ok(Ok(news)) => {
+                self.take(address, news);
+                None
+            }
+            Ok(Err(error)) => Some(error.to_string()),
+            Err(elapsed) => Some(elapsed.to_string()),
+        };
+        if let Some(cause) = cause {
+            parts.counters.add("peers.silent");
+            let source = address.to_string();
+            parts.events.write(|| not_read(source, &parts.routing, started_at, cause));
         }
         self.inner.is_asking.store(false, Ordering::Release);
     }
 
-    async fn news_of(&self, address: SocketAddr, wanted: Wanted) -> Option<PeerNews> {
+    async fn news_of(&self, address: SocketAddr, wanted: Wanted) -> Result<PeerNews, PeerError> {
         let question = NewsQuestion {
             routing_version: self.inner.parts.routing.version(),
             members_after: (wanted == Wanted::All).then_some(0),
             is_lasting: false,
         };
-        let answer = self.send(address, &question, Freshness::Kept).await.ok()?;
-        let text = answer.into_body().collect().await.ok()?.to_bytes();
-        serde_json::from_slice(&text).ok()
+        let answer = self.send(address, &question, Freshness::Kept).await?;
+        let text = answer.into_body().collect().await?.to_bytes();
+        Ok(serde_json::from_slice(&text)?)
     }
 
     /// Sends `question` to the daemon whose gate is at `address`.
@@ -298,9 +324,10 @@
         let listed = news.whole_as_of();
         if let Some(table) = news.routing {
             let version = table.version;
+            let behind_ms = whole_ms(parts.routing.behind_for());
             if parts.routing.offer(table) {
                 let from = address.to_string();
-                parts.events.write(|| RoutingInForce { version, revision: None, from });
+                parts.events.write(|| RoutingInForce { version, revision: None, from, behind_ms });
             }
         }
         for dated in news.members {
--- a/crates/yuccarackd/src/daemon/routed.rs
+++ b/crates/yuccarackd/src/daemon/routed.rs
@@ -141,7 +141,8 @@
                 let version = table.version;
                 if self.routing.offer(table) {
                     let from = "file".to_owned();
-                    self.events.write(|| RoutingInForce { version, revision: None, from });
+                    let (revision, behind_ms) = (None, 0);
+                    self.events.write(|| RoutingInForce { version, revision, from, behind_ms });
                 }
             }
             Ok(None) => {}
--- a/crates/yuccarackd/src/daemon/routed/wiring.rs
+++ b/crates/yuccarackd/src/daemon/routed/wiring.rs
@@ -121,6 +121,7 @@
     /// Tells with the metrics what is known and how old it is.
     fn tell_state(&self, follower: &Follower) {
         let (metrics, routing, age) = (&self.metrics, self.routing.clone(), self.routing.clone());
+        let (newest, behind) = (self.routing.clone(), self.routing.clone());
         let (members, target) = (self.members.clone(), self.target.clone());
         let (news, told, answers) =
             (follower.news.clone(), follower.news.clone(), follower.answers.clone());
@@ -132,6 +133,14 @@
             "Time since it came in force; -1 without.",
             move || age.in_force_for().map_or(-1, whole_seconds),
         );
+        metrics.tell("routing_newest_version", "Newest version known of.", move || {
+            i64::try_from(newest.newest_version()).unwrap_or(i64::MAX)
+        });
+        metrics.tell(
+            "routing_behind_milliseconds",
+            "Time since a newer version than the one in force was known of; 0 without one.",
+            move || i64::try_from(behind.behind_for().as_millis()).unwrap_or(i64::MAX),
+        );
         metrics.tell("members", "Instances that are known.", move || count(members.count()));
         metrics.tell("target_ready", "Whether the own target takes work, 1 or 0.", move || {
             let ready = target.current().filter(|view| view.phase == TargetPhase::Ready);
--- a/crates/yuccarackd/src/state/routed/metrics.rs
+++ b/crates/yuccarackd/src/state/routed/metrics.rs
@@ -5,7 +5,10 @@
 use parking_lot::Mutex;
 use prometheus_client::{
     collector::Collector,
-    encoding::{DescriptorEncoder, EncodeLabelSet, EncodeMetric},
+    encoding::{
+        DescriptorEncoder, EncodeLabelSet, EncodeMetric,
+        text::{encode_eof, encode_registry},
+    },
     metrics::{
         counter::ConstCounter,
         family::Family,
@@ -18,6 +21,9 @@
 
 use crate::state::counters::Counters;
 
+/// Start of every metric's name.
+const PREFIX: &str = "yuccarack";
+
 /// Shortest time that a histogram tells apart, in seconds: a call through two idle daemons.
 const BUCKET_FIRST_S: f64 = 0.000_5;
 
@@ -45,7 +51,8 @@
     first_byte: Histogram,
     tries: Histogram,
     gauges: Arc<Mutex<Vec<ReadGauge>>>,
-    registry: Arc<Mutex<Registry>>,
+    readings: Arc<Mutex<Registry>>,
+    histograms: Arc<Mutex<Registry>>,
 }
 
 /// A number that is read when metrics are asked for.
@@ -63,7 +70,7 @@
 impl Metrics {
     /// Makes metrics that tell `counters` too.
     pub fn new(counters: Counters) -> Self {
-        let mut registry = Registry::with_prefix("yuccarack");
+        let mut registry = Registry::with_prefix(PREFIX);
         let calls = LabelledTimes::new_with_constructor(times as fn() -> Histogram);
         registry.register("call_seconds", "Time of a call at its entry.", calls.clone());
         let queue = times();
@@ -77,8 +84,9 @@
         let tries = Histogram::new([1.0, 2.0, 3.0, 4.0, 5.0, 6.0]);
         registry.register("tries", "Gates that a call was offered to.", tries.clone());
         let gauges: Arc<Mutex<Vec<ReadGauge>>> = Arc::default();
-        let readings = Readings { counters, gauges: Arc::clone(&gauges) };
-        registry.register_collector(Box::new(readings));
+        let mut readings = Registry::with_prefix(PREFIX);
+        let collector = Readings { counters, gauges: Arc::clone(&gauges) };
+        readings.register_collector(Box::new(collector));
         Self {
             calls,
             queue,
@@ -86,7 +94,8 @@
             first_byte,
             tries,
             gauges,
-            registry: Arc::new(Mutex::new(registry)),
+            readings: Arc::new(Mutex::new(readings)),
+            histograms: Arc::new(Mutex::new(registry)),
         }
     }
 
@@ -125,14 +134,17 @@
         self.tries.observe(tries as f64);
     }
 
-    /// All metrics as text.
+    /// All metrics as text: gauges, counters, then the far longer histograms, since some scrapers
+    /// keep only the first few KiB.
     ///
     /// # Errors
     ///
     /// [`MetricsError`] when one of them can't be written.
     pub fn text(&self) -> Result<String, MetricsError> {
         let mut text = String::new();
-        prometheus_client::encoding::text::encode(&mut text, &self.registry.lock())?;
+        encode_registry(&mut text, &self.readings.lock())?;
+        encode_registry(&mut text, &self.histograms.lock())?;
+        encode_eof(&mut text)?;
         Ok(text)
     }
 }
@@ -154,6 +166,12 @@
 
 impl Collector for Readings {
     fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
+        for gauge in self.gauges.lock().iter() {
+            let value = ConstGauge::new((gauge.read)());
+            let metric =
+                encoder.encode_descriptor(gauge.name, gauge.help, None, value.metric_type())?;
+            value.encode(metric)?;
+        }
         for (name, count) in self.counters.snapshot() {
             let counter = ConstCounter::new(count);
             let name = name.replace('.', "_");
@@ -161,12 +179,6 @@
             let metric = encoder.encode_descriptor(&name, help, None, counter.metric_type())?;
             counter.encode(metric)?;
         }
-        for gauge in self.gauges.lock().iter() {
-            let value = ConstGauge::new((gauge.read)());
-            let metric =
-                encoder.encode_descriptor(gauge.name, gauge.help, None, value.metric_type())?;
-            value.encode(metric)?;
-        }
         Ok(())
     }
 }
--- a/crates/yuccarackd/src/state/routed/routing_state.rs
+++ b/crates/yuccarackd/src/state/routed/routing_state.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
 use yuccarack_config::routing::{Routing, RoutingTable, RoutingVersion};
 
@@ -14,6 +14,15 @@
 pub struct RoutingState {
     current: Arc<RwLock<Option<InForce>>>,
     changed: Arc<watch::Sender<RoutingVersion>>,
+    newer: Arc<Mutex<Option<Newer>>>,
+}
+
+/// A newer version than the one in force that is known to exist.
+#[derive(Clone, Copy, Debug)]
+struct Newer {
+    version: RoutingVersion,
+    /// When the first newer one was known of.
+    since: Instant,
 }
 
 /// A table and when it came in force.
@@ -26,7 +35,11 @@
 impl RoutingState {
     /// Starts without a table.
     pub fn new() -> Self {
-        Self { current: Arc::default(), changed: Arc::new(watch::Sender::new(0)) }
+        Self {
+            current: Arc::default(),
+            changed: Arc::new(watch::Sender::new(0)),
+            newer: Arc::default(),
+        }
     }
 
     /// The table in force, once there is one.
@@ -44,6 +57,29 @@
         *self.changed.borrow()
     }
 
+    /// Notes that `version` exists; says whether it is newer than the one in force.
+    pub fn note_version(&self, version: RoutingVersion) -> bool {
+        let mut newer = self.newer.lock();
+        if version <= self.version() {
+            return false;
+        }
+        match newer.as_mut() {
+            Some(newer) => newer.version = newer.version.max(version),
+            None => *newer = Some(Newer { version, since: Instant::now() }),
+        }
+        true
+    }
+
+    /// Newest version that is known of.
+    pub fn newest_version(&self) -> RoutingVersion {
+        self.newer.lock().map_or_else(|| self.version(), |newer| newer.version)
+    }
+
+    /// Time since a newer version than the one in force was first known of; zero without one.
+    pub fn behind_for(&self) -> Duration {
+        self.newer.lock().map_or(Duration::ZERO, |newer| newer.since.elapsed())
+    }
+
     /// Tells of each change.
     pub fn subscribe(&self) -> watch::Receiver<RoutingVersion> {
         self.changed.subscribe()
@@ -62,7 +98,9 @@
         let routing = Arc::new(Routing::new(table));
         *current = Some(InForce { routing, since: Instant::now() });
         drop(current);
+        let mut newer = self.newer.lock();
         self.changed.send_replace(version);
+        newer.take_if(|newer| newer.version <= version);
         true
     }
 }
--- /dev/null
+++ b/crates/yuccarackd/tests/metrics_text.rs
@@ -0,0 +1,26 @@
+//! Text of the metrics as scrapers read it.
+
+use std::time::Duration;
+
+use yuccarackd::state::{counters::Counters, routed::metrics::Metrics};
+
+/// Bytes that a scraper with a small buffer keeps.
+const SCRAPED_BYTES: usize = 4 * 1024;
+
+/// Guards against gauges and counters that a scraper cuts off because histograms precede them.
+#[test]
+fn gauges_and_counters_precede_histograms() {
+    let counters = Counters::new();
+    counters.add("store.reads_failed");
+    let metrics = Metrics::new(counters);
+    metrics.tell("routing_version", "Version.", || 7);
+    for end in ["answered", "not_run", "unknown", "target_failed"] {
+        metrics.call_ended(end, Duration::from_millis(3));
+    }
+    let text = metrics.text().expect("text");
+    assert!(text.len() > SCRAPED_BYTES, "the histograms fit by themselves");
+    let kept = &text[..SCRAPED_BYTES];
+    assert!(kept.contains("yuccarack_routing_version 7"), "{kept}");
+    assert!(kept.contains("yuccarack_store_reads_failed_total 1"), "{kept}");
+    assert!(text.ends_with("# EOF\n"));
+}
