--- a/crates/yuccarack_standins/src/lib.rs
+++ b/crates/yuccarack_standins/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod echo;
 pub mod fleet;
+pub mod link_rate;
 pub mod load;
 pub mod measure;
 pub mod platform;
--- a/crates/yuccarack_standins/src/proxy.rs
+++ b/crates/yuccarack_standins/src/proxy.rs
@@ -18,7 +18,10 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use yuccarack_config::{wire_data, wire_kind};
 
-use crate::server::{Answer, Server, answer, json_question, listen};
+use crate::{
+    link_rate::LinkRate,
+    server::{Answer, Server, answer, json_question, listen},
+};
 
 /// Largest piece that is carried at once, in bytes.
 const PIECE_BYTES: usize = 16 * 1024;
@@ -55,6 +58,8 @@
         pub swallow_answer: bool,
         /// Connections that the last two faults still hit; unset, all.
         pub times: Option<u32>,
+        /// Bytes a second that pass each way over all connections together; unset, any number.
+        pub bytes_per_s: Option<u64>,
     }
 
     /// Where a connection is cut.
@@ -79,6 +84,8 @@
 struct Shared {
     upstream: Mutex<SocketAddr>,
     faults: Mutex<ProxyFaults>,
+    upstream_rate: LinkRate,
+    downstream_rate: LinkRate,
     cut: Mutex<CancellationToken>,
     changed: Notify,
     end: CancellationToken,
@@ -104,6 +111,8 @@
         let shared = Arc::new(Shared {
             upstream: Mutex::new(upstream),
             faults: Mutex::default(),
+            upstream_rate: LinkRate::default(),
+            downstream_rate: LinkRate::default(),
             cut: Mutex::default(),
             changed: Notify::new(),
             end: CancellationToken::new(),
@@ -163,6 +172,8 @@
 impl Shared {
     fn set_faults(&self, faults: ProxyFaults) {
         let refuse = faults.refuse;
+        self.upstream_rate.set(faults.bytes_per_s);
+        self.downstream_rate.set(faults.bytes_per_s);
         *self.faults.lock() = faults;
         self.changed.notify_waiters();
         if refuse {
@@ -176,6 +187,13 @@
         *cut = CancellationToken::new();
     }
 
+    fn rate(&self, direction: Direction) -> &LinkRate {
+        match direction {
+            Direction::Upstream => &self.upstream_rate,
+            Direction::Downstream => &self.downstream_rate,
+        }
+    }
+
     /// Decides about a piece of `length` after `carried` bytes on the same way.
     fn fate(&self, direction: Direction, length: usize, carried: u64) -> Fate {
         let mut faults = self.faults.lock();
@@ -257,7 +275,10 @@
     let mut piece = vec![0; PIECE_BYTES];
     let mut carried = 0;
     loop {
-        let length = from.read(&mut piece).await?;
+        let rate = shared.rate(direction);
+        let most = rate.piece_bytes().unwrap_or(PIECE_BYTES).min(PIECE_BYTES);
+        let length = from.read(&mut piece[..most]).await?;
+        rate.pass(length).await;
         let delay_ms = shared.faults.lock().delay_ms;
         if delay_ms > 0 {
             sleep(Duration::from_millis(delay_ms)).await;
--- /dev/null
+++ b/crates/yuccarackd/tests/routed/large_tables.rs
@@ -0,0 +1,161 @@
+//! Routing tables that are large for the links over which they arrive.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use http::Method;
+use yuccarack_platform_standin::{
+    deployment::{Deployment, RouteSpec, wait},
+    instance::Links,
+};
+use yuccarack_policy::relays::{Standing, standing};
+use yuccarack_standins::{
+    client::{Asker, Question},
+    proxy::ProxyFaults,
+};
+
+use crate::support::{READS, program};
+
+/// Two failure domains of four instances each: two relays in each, and two that these notify.
+const SERVICES: [&str; 8] = ["board"; 8];
+
+const DOMAINS: usize = 2;
+
+/// Routes of a table that takes far more than a second over a thin link.
+const ROUTES: usize = 3_000;
+
+/// A link over which a table of [`ROUTES`] takes some three seconds.
+const THIN_BYTES_PER_S: u64 = 256 * 1024;
+
+/// Time within which a change has to be in force.
+const IN_FORCE_MAX: Duration = Duration::from_secs(2);
+
+/// `count` routes; those of two calls with other `series` differ.
+fn routes(series: &str, count: usize) -> Vec<RouteSpec> {
+    let route = |number: usize| {
+        // Prefixes of real tables have no order that compresses well.
+        let scattered = (number as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        RouteSpec::reads(READS, format!("/{series}{number}/{scattered:x}/"), "board")
+    };
+    (0..count).map(route).collect()
+}
+
+/// The instances that relays notify.
+fn notified() -> BTreeSet<usize> {
+    let names: Vec<String> = (0..SERVICES.len()).map(|number| format!("n{number}")).collect();
+    let is_notified = |number: &usize| {
+        let domain = names.iter().skip(number % DOMAINS).step_by(DOMAINS).map(String::as_str);
+        matches!(standing(&names[*number], domain), Standing::IsTold(_))
+    };
+    let notified: BTreeSet<usize> = (0..SERVICES.len()).filter(is_notified).collect();
+    assert_eq!(notified.len(), 4, "{notified:?}");
+    notified
+}
+
+/// A deployment with `table` in force, whose relays are known.
+async fn settled(name: &str, table: &[RouteSpec]) -> Deployment {
+    let links = [Links { is_gate_proxied: true, ..Links::default() }; SERVICES.len()];
+    let starting = Deployment::start_with(program(), name, &SERVICES, &links, DOMAINS);
+    let mut deployment = starting.await.expect("a deployment");
+    deployment.apply(table).await;
+    for number in notified() {
+        let log = deployment.instances[number].log();
+        let is_notified = || async {
+            std::fs::read_to_string(&log).unwrap_or_default().contains("\"relay_heard\"")
+        };
+        wait(&format!("n{number} to have a relay"), is_notified).await;
+    }
+    deployment
+}
+
+/// Limits the links of `numbers` to the store, and all links between daemons.
+fn limit_links(deployment: &Deployment, numbers: &BTreeSet<usize>) {
+    for number in numbers {
+        deployment.instances[*number].door.set_rate(Some(THIN_BYTES_PER_S));
+    }
+    for instance in &deployment.instances {
+        let proxy = instance.proxies.gate.as_ref().expect("a proxy");
+        let bytes_per_s = Some(THIN_BYTES_PER_S);
+        proxy.set_faults(ProxyFaults { bytes_per_s, ..ProxyFaults::default() });
+    }
+}
+
+/// Version of the table that an instance has in force, by its metrics.
+async fn version(deployment: &Deployment, number: usize) -> Option<u64> {
+    let address = deployment.instances[number].address("metrics_address");
+    let question = Question::new(Method::GET, "/metrics");
+    let answer = Asker::new(Duration::from_secs(1)).ask(address, question).await.ok()?;
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let line = text.lines().find(|line| line.starts_with("yuccarack_routing_version "))?;
+    line.split(' ').nth(1)?.parse().ok()
+}
+
+/// Writes `table` and returns the instances that don't have it in force in time.
+async fn late_after_write(deployment: &mut Deployment, table: &[RouteSpec]) -> Vec<usize> {
+    let written = deployment.write(table);
+    let due_at = Instant::now() + IN_FORCE_MAX;
+    let mut late: Vec<usize> = (0..SERVICES.len()).collect();
+    while !late.is_empty() && Instant::now() < due_at {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let mut still_late = Vec::new();
+        for number in late {
+            if version(deployment, number).await != Some(written) {
+                still_late.push(number);
+            }
+        }
+        late = still_late;
+    }
+    late
+}
+
+/// Guards against a change of one route that costs each daemon a transfer of the whole table.
+#[tokio::test]
+async fn a_small_change_of_a_large_table_is_in_force_in_time_over_thin_links() {
+    let mut table = routes("a", ROUTES);
+    let mut deployment = settled("large-small-change", &table).await;
+    limit_links(&deployment, &notified());
+    table[7].wait_max_ms = 900;
+    table.push(RouteSpec::reads(READS, "/new/", "board"));
+    assert_eq!(late_after_write(&mut deployment, &table).await, Vec::<usize>::new());
+}
+
+/// Guards against many added routes that jam thin links beside a large table.
+#[tokio::test]
+async fn many_added_routes_are_in_force_in_time_over_thin_links() {
+    let mut table = routes("a", ROUTES);
+    let mut deployment = settled("large-growth", &table).await;
+    limit_links(&deployment, &notified());
+    table.extend(routes("b", 1_400));
+    assert_eq!(late_after_write(&mut deployment, &table).await, Vec::<usize>::new());
+}
+
+/// Guards against a daemon that is never ready, since each transfer of the table is cut and starts over.
+#[tokio::test]
+async fn a_daemon_starts_with_a_table_that_takes_seconds_to_arrive() {
+    let mut deployment = settled("large-start", &routes("a", ROUTES)).await;
+    let all = (0..SERVICES.len()).collect();
+    limit_links(&deployment, &all);
+    for number in [0, 1] {
+        deployment.instances[number].kill_daemon();
+        deployment.instances[number].start_daemon().await.expect("a daemon");
+    }
+    for number in [0, 1] {
+        let instance = &deployment.instances[number];
+        wait(&format!("{} to be ready", instance.name), || instance.is_ready()).await;
+    }
+}
+
+/// Guards against waiting for a store that sends a byte now and then while peers have the table.
+#[tokio::test]
+async fn a_store_that_trickles_does_not_hold_a_change_up() {
+    let mut table = routes("a", 300);
+    let mut deployment = settled("large-trickle", &table).await;
+    let slow = *notified().first().expect("an instance");
+    deployment.instances[slow].door.set_rate(Some(200));
+    let relay = (0..SERVICES.len()).find(|number| !notified().contains(number));
+    deployment.instances[relay.expect("a relay")].door.set_rate(Some(200));
+    table.extend(routes("b", 300));
+    assert_eq!(late_after_write(&mut deployment, &table).await, Vec::<usize>::new());
+}
--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -4,6 +4,7 @@
 mod at_most_once;
 mod crashing;
 mod explained;
+mod large_tables;
 mod leaving;
 mod path;
 mod pipelining;
