A transfer of news is limited by its progress, not by its total time

Callers saw: requests routed by a table that was up to seven seconds older than the acknowledged one (CONFIG), and daemons that were not ready for nine seconds after their start. Cause: StoreClient::read allowed 1 s for a whole answer and Peers::ask 0.5 s. The routing table's size is the operators'; at 4,200 added routes it has 0.93 MB on the wire, 0.75 s of a link of 10 Mbit/s that calls and a second transfer share. Each try ended at its limit and the next began with the first byte. Change: the head of an answer has the old limit; its body may take as long as 16 KiB arrive in each second (yuccarack_platform::transfer). New: tests/transfer.rs of yuccarack_platform.

--- a/crates/yuccarack_platform/src/accept.rs
+++ b/crates/yuccarack_platform/src/accept.rs
@@ -134,6 +134,7 @@
         PlatformError::Conflict { .. }
         | PlatformError::Unreachable
         | PlatformError::Unknown
+        | PlatformError::Stalled { .. }
         | PlatformError::Malformed(_) => false,
     }
 }
--- a/crates/yuccarack_platform/src/client.rs
+++ b/crates/yuccarack_platform/src/client.rs
@@ -3,8 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -17,6 +18,7 @@
     escape::escaped,
     feed::FeedQuestion,
     messages::{Commit, Committed, Conflicted, Row, Rows},
+    transfer::{TransferError, read_whole},
 };
 
 /// Idle connections kept to the platform.
@@ -130,18 +132,28 @@
         Ok(Some(answer))
     }
 
-    /// Asks a question of a table with a feed and waits `answer_timeout` for its answer.
+    /// Asks a question of a table with a feed and waits `answer_timeout` for the head of its answer;
+    /// `on_bytes` gets the length of each piece of the body, which may take as long as it makes progress.
     ///
     /// # Errors
     ///
-    /// [`PlatformError::Unreachable`] and [`PlatformError::Unknown`].
+    /// [`PlatformError::Unreachable`], [`PlatformError::Unknown`] and [`PlatformError::Stalled`].
     pub async fn ask_feed(
         &self,
         question: FeedQuestion,
         answer_timeout: Duration,
+        on_bytes: impl FnMut(usize),
     ) -> Result<(StatusCode, Bytes), PlatformError> {
         let FeedQuestion { method, path, body } = question;
-        self.ask_within(method, &path, body, answer_timeout).await
+        let request = self.request(method, &path, body)?;
+        let answer = timeout(answer_timeout, self.send(request)).await;
+        let answer = answer.map_err(|_| PlatformError::Unknown)??;
+        let status = answer.status();
+        let body = read_whole(answer.into_body(), on_bytes).await.map_err(|error| match error {
+            TransferError::Cut(_) => PlatformError::Unknown,
+            TransferError::Stalled { received_bytes } => PlatformError::Stalled { received_bytes },
+        })?;
+        Ok((status, body))
     }
 
     async fn ask(
@@ -160,14 +172,34 @@
         body: Bytes,
         answer_timeout: Duration,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
-        let request = Request::builder()
+        let request = self.request(method, path, body)?;
+        match timeout(answer_timeout, self.exchange(request)).await {
+            Ok(result) => result,
+            Err(_) => Err(PlatformError::Unknown),
+        }
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, PlatformError> {
+        Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
-            .map_err(|_| PlatformError::Unreachable)?;
-        match timeout(answer_timeout, self.exchange(request)).await {
-            Ok(result) => result,
+            .map_err(|_| PlatformError::Unreachable)
+    }
+
+    async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, PlatformError> {
+        match self.client.request(request).await {
+            Ok(answer) => Ok(answer),
+            Err(error) if error.is_connect() => Err(PlatformError::Unreachable),
             Err(_) => Err(PlatformError::Unknown),
         }
     }
@@ -176,11 +208,7 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
-        let answer = match self.client.request(request).await {
-            Ok(answer) => answer,
-            Err(error) if error.is_connect() => return Err(PlatformError::Unreachable),
-            Err(_) => return Err(PlatformError::Unknown),
-        };
+        let answer = self.send(request).await?;
         let status = answer.status();
         let body = answer.into_body().collect().await.map_err(|_| PlatformError::Unknown)?;
         Ok((status, body.to_bytes()))
--- a/crates/yuccarack_platform/src/errors.rs
+++ b/crates/yuccarack_platform/src/errors.rs
@@ -25,6 +25,12 @@
     /// The question went out and no answer came; a write may have taken effect.
     #[error("no answer came; whether a write took effect is unknown")]
     Unknown,
+    /// The answer began and made no progress any more.
+    #[error("the answer stalled after {received_bytes} bytes")]
+    Stalled {
+        /// Bytes of its body that had arrived.
+        received_bytes: usize,
+    },
     /// The answer is not in the agreed form; a write may have taken effect.
     #[error("the platform's answer can't be read")]
     Malformed(#[source] serde_json::Error),
@@ -41,7 +47,7 @@
             | Self::Refused { .. }
             | Self::Unreachable
             | Self::Unwritable(_) => true,
-            Self::Unknown | Self::Malformed(_) => false,
+            Self::Unknown | Self::Stalled { .. } | Self::Malformed(_) => false,
         }
     }
 }
--- a/crates/yuccarack_platform/src/lib.rs
+++ b/crates/yuccarack_platform/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod hex_id;
 pub mod messages;
 pub mod rows;
+pub mod transfer;
 
 pub use client::PlatformClient;
 pub use errors::PlatformError;
--- /dev/null
+++ b/crates/yuccarack_platform/tests/transfer.rs
@@ -0,0 +1,75 @@
+//! Transfers that are slow, stall or break off.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body::{Body, Frame};
+use http_body_util::{BodyExt, StreamBody};
+use tokio::time::{Instant, sleep};
+use yuccarack_platform::transfer::{
+    PROGRESS_INTERVAL, PROGRESS_MIN_BYTES, TransferError, read_whole,
+};
+
+/// The connection broke.
+#[derive(Debug, PartialEq)]
+struct Broken;
+
+/// A body of `pieces` of `piece_bytes` each, `pause` apart.
+fn body(
+    pieces: usize,
+    piece_bytes: usize,
+    pause: Duration,
+) -> impl Body<Data = Bytes, Error = Broken> + Unpin {
+    let pieces = stream::unfold(0, move |sent| async move {
+        if sent == pieces {
+            return None;
+        }
+        sleep(pause).await;
+        Some((Ok(Frame::data(Bytes::from(vec![b'x'; piece_bytes]))), sent + 1))
+    });
+    StreamBody::new(pieces).boxed_unsync()
+}
+
+/// Guards against a time limit in total, by which a large body on a slow link never arrives.
+#[tokio::test(start_paused = true)]
+async fn a_slow_body_is_read_whole_while_it_makes_progress() {
+    let mut counted = 0;
+    let slow = body(100, 4 * 1024, Duration::from_millis(200));
+    let read = read_whole(slow, |bytes| counted += bytes).await.expect("a whole body");
+    assert_eq!(read.len(), 400 * 1024);
+    assert_eq!(counted, 400 * 1024);
+}
+
+/// Guards against a transfer that goes on for ever with a byte now and then.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_trickles_is_given_up() {
+    let started_at = Instant::now();
+    let trickle = body(10_000, 1, Duration::from_millis(100));
+    let read = read_whole(trickle, |_| ()).await;
+    assert!(matches!(read, Err(TransferError::Stalled { received_bytes: 9..=10 })), "{read:?}");
+    assert_eq!(started_at.elapsed(), PROGRESS_INTERVAL);
+}
+
+/// Guards against a transfer that makes progress at first and is waited for without end.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_stops_midway_is_given_up() {
+    let start = body(3, PROGRESS_MIN_BYTES, Duration::from_millis(400));
+    let stopped = StreamBody::new(stream::unfold((start, 0), |(mut start, sent)| async move {
+        if sent == 3 {
+            std::future::pending::<()>().await;
+        }
+        Some((start.frame().await?, (start, sent + 1)))
+    }));
+    let started_at = Instant::now();
+    let read = read_whole(stopped.boxed_unsync(), |_| ()).await;
+    assert!(matches!(read, Err(TransferError::Stalled { .. })), "{read:?}");
+    assert_eq!(started_at.elapsed(), PROGRESS_INTERVAL * 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_body_that_breaks_off_is_not_taken_for_whole() {
+    let pieces = [Ok(Frame::data(Bytes::from_static(b"half"))), Err(Broken)];
+    let read = read_whole(StreamBody::new(stream::iter(pieces)), |_| ()).await;
+    assert!(matches!(read, Err(TransferError::Cut(Broken))), "{read:?}");
+}
--- a/crates/yuccarackctl/src/errors.rs
+++ b/crates/yuccarackctl/src/errors.rs
@@ -195,7 +195,9 @@
 
 fn platform_status(error: &PlatformError) -> ExitStatus {
     match error {
-        PlatformError::Unreachable | PlatformError::Unknown => ExitStatus::PlatformAway,
+        PlatformError::Unreachable | PlatformError::Unknown | PlatformError::Stalled { .. } => {
+            ExitStatus::PlatformAway
+        }
         PlatformError::Refused { status } if *status >= 500 => ExitStatus::PlatformAway,
         PlatformError::Conflict { .. } => ExitStatus::Conflict,
         PlatformError::Refused { .. }
--- a/crates/yuccarackd/src/coordination/routed/peers.rs
+++ b/crates/yuccarackd/src/coordination/routed/peers.rs
@@ -11,16 +11,16 @@
 };
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::BodyExt;
 use parking_lot::Mutex;
 use rand::seq::IndexedRandom;
 use thiserror::Error;
 use tokio::{
     sync::Notify,
-    time::{Instant, sleep, timeout},
+    time::{Instant, error::Elapsed, sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 use yuccarack_config::{ids::Revision, routing::RoutingVersion};
+use yuccarack_platform::transfer::{TransferError, read_whole};
 use yuccarack_policy::relays::relays_of;
 
 use super::{
@@ -65,7 +65,7 @@
 /// comes within 100 ms and costs no bytes between domains.
 const STORE_FIRST: Duration = Duration::from_millis(600);
 
-/// Longest wait for a peer's news.
+/// Longest wait for the head of a peer's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Most senders that are remembered to be asked while no member is known.
@@ -77,9 +77,12 @@
     /// It could not be asked.
     #[error(transparent)]
     NotSent(#[from] SendError),
-    /// Its answer broke off.
+    /// Its answer didn't begin in time.
+    #[error("no answer in time")]
+    Silent(#[from] Elapsed),
+    /// Its answer broke off or stalled.
     #[error(transparent)]
-    Cut(#[from] BodyError),
+    NotRead(#[from] TransferError<BodyError>),
     /// Its answer can't be read.
     #[error("the answer can't be read: {0}")]
     Malformed(#[from] serde_json::Error),
@@ -277,18 +280,13 @@
         let parts = &self.inner.parts;
         parts.counters.add("peers.asked");
         let started_at = Instant::now();
-        let cause = match timeout(ANSWER_TIMEOUT, self.news_of(address, wanted)).await {
-            Ok(Ok(news)) => {
-                self.take(address, news);
-                None
+        match self.news_of(address, wanted).await {
+            Ok(news) => self.take(address, news),
+            Err(error) => {
+                parts.counters.add("peers.silent");
+                let (source, cause) = (address.to_string(), error.to_string());
+                parts.events.write(|| not_read(source, &parts.routing, started_at, cause));
             }
-            Ok(Err(error)) => Some(error.to_string()),
-            Err(elapsed) => Some(elapsed.to_string()),
-        };
-        if let Some(cause) = cause {
-            parts.counters.add("peers.silent");
-            let source = address.to_string();
-            parts.events.write(|| not_read(source, &parts.routing, started_at, cause));
         }
         self.inner.is_asking.store(false, Ordering::Release);
     }
@@ -299,8 +297,9 @@
             members_after: (wanted == Wanted::All).then_some(0),
             is_lasting: false,
         };
-        let answer = self.send(address, &question, Freshness::Kept).await?;
-        let text = answer.into_body().collect().await?.to_bytes();
+        let asked = self.send(address, &question, Freshness::Kept);
+        let answer = timeout(ANSWER_TIMEOUT, asked).await??;
+        let text = read_whole(answer.into_body(), |_| ()).await?;
         Ok(serde_json::from_slice(&text)?)
     }
 
--- a/crates/yuccarackd/src/coordination/routed/relay_follower.rs
+++ b/crates/yuccarackd/src/coordination/routed/relay_follower.rs
@@ -169,7 +169,7 @@
         let mut lines = Lines::new(timeout(FIRST_LINE_MAX, asked).await??.into_body());
         let mut silence_max = FIRST_LINE_MAX;
         loop {
-            let line = timeout(silence_max, lines.next()).await??;
+            let line = lines.next(silence_max).await?;
             silence_max = SILENCE_MAX;
             if line.is_empty() {
                 continue;
@@ -213,8 +213,8 @@
         Self { body, read: BytesMut::new() }
     }
 
-    /// The next line without its end.
-    async fn next(&mut self) -> Result<Bytes, RelayError> {
+    /// The next line without its end; a long one may take as long as no pause exceeds `silence_max`.
+    async fn next(&mut self, silence_max: Duration) -> Result<Bytes, RelayError> {
         loop {
             if let Some(end) = self.read.iter().position(|byte| *byte == b'\n') {
                 let line = self.read.split_to(end).freeze();
@@ -224,7 +224,8 @@
             if self.read.len() > LINE_MAX_BYTES {
                 return Err(RelayError::TooLong);
             }
-            let frame = self.body.frame().await.ok_or(RelayError::Ended)??;
+            let frame = timeout(silence_max, self.body.frame()).await?;
+            let frame = frame.ok_or(RelayError::Ended)??;
             if let Ok(data) = frame.into_data() {
                 self.read.extend_from_slice(&data);
             }
--- a/crates/yuccarackd/src/coordination/routed/store_client.rs
+++ b/crates/yuccarackd/src/coordination/routed/store_client.rs
@@ -13,7 +13,7 @@
 
 use crate::state::counters::Counters;
 
-/// Longest wait for an answer that isn't held back; the store answers in some 10 ms.
+/// Longest wait for the head of an answer that isn't held back.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Asks the table store; clones share their connections.
@@ -92,7 +92,7 @@
         question: FeedQuestion,
         answer_timeout: Duration,
     ) -> Result<(StatusCode, Bytes), FeedError> {
-        Ok(self.client.ask_feed(question, answer_timeout).await?)
+        Ok(self.client.ask_feed(question, answer_timeout, |_| ()).await?)
     }
 
     fn counted<T>(
--- a/crates/yuccarackd/src/coordination/table.rs
+++ b/crates/yuccarackd/src/coordination/table.rs
@@ -167,7 +167,7 @@
         PlatformError::Conflict { .. } => "conflict",
         PlatformError::Refused { .. } => "refused",
         PlatformError::Unreachable => "unreachable",
-        PlatformError::Unknown => "no_answer",
+        PlatformError::Unknown | PlatformError::Stalled { .. } => "no_answer",
         PlatformError::Malformed(_) => "malformed",
         PlatformError::Unwritable(_) => "unwritable",
     }
