Relays and peers pass on changes of the routing table instead of the whole

Cause: a change of any size cost each daemon the whole table: relays left tables of more than 100 routes out of their lines, and 77 daemons read 0.93 MB from the store at the same moment over links of 10 Mbit/s. Where changes are larger than 64 KiB packed, a relay sends the version only, as before; where they don't fit, they are refused with a line and a counter. A header says that an asker takes changes; daemons of the version before get whole tables as before.

relays::a_large_table_is_not_told_on pinned that 300 added routes cost a daemon one question to the store. They cost none now (hundreds_of_added_routes_are_told_on); its guard, that large changes don't jam a relay's link, stands unchanged with changes above the bound (changes_above_a_bound_are_not_told_on..., one question). Tests: routing_changes (merged, partial and whole changes give the same table), routing_state.

--- a/crates/yuccarack_config/src/lib.rs
+++ b/crates/yuccarack_config/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod routed_settings;
 pub mod routing;
+pub mod routing_changes;
 pub mod routing_file;
 pub mod rules;
 pub mod schema;
--- a/crates/yuccarack_config/src/routing.rs
+++ b/crates/yuccarack_config/src/routing.rs
@@ -1,8 +1,11 @@
 //! Routes by host and path prefix, with what operators say of each.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, hash_map::Entry};
 
-use crate::ids::ServiceName;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3Default;
+
+use crate::{ids::ServiceName, routing_changes::RoutesDigest};
 
 /// Number of an accepted routing table; rises with each change.
 pub type RoutingVersion = u64;
@@ -79,22 +82,96 @@
     }
 }
 
+/// What tells a route from all others of its table.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RouteKey {
+    /// Host of the route.
+    pub host: String,
+    /// Start of the paths that the route takes.
+    pub path_prefix: String,
+}
+
+impl Route {
+    /// The route's key.
+    pub fn key(&self) -> RouteKey {
+        RouteKey { host: self.host.clone(), path_prefix: self.path_prefix.clone() }
+    }
+
+    /// Digest of all fields, the same in each build.
+    fn digest(&self) -> RoutesDigest {
+        let Self {
+            name,
+            host,
+            path_prefix,
+            is_repeatable,
+            is_upload,
+            split,
+            wait_max_ms,
+            on_time_ms,
+            targets_max,
+            rank,
+        } = self;
+        let mut hasher = Xxh3Default::new();
+        let mut add_text = |text: &str| {
+            hasher.update(&(text.len() as u64).to_le_bytes());
+            hasher.update(text.as_bytes());
+        };
+        [name, host, path_prefix].into_iter().for_each(|text| add_text(text));
+        for WeightedService { service, weight } in split {
+            add_text(service);
+            add_text(&weight.to_string());
+        }
+        hasher.update(&[u8::from(*is_repeatable), u8::from(*is_upload), *targets_max, *rank]);
+        hasher.update(&wait_max_ms.to_le_bytes());
+        hasher.update(&on_time_ms.to_le_bytes());
+        hasher.digest()
+    }
+}
+
 /// A routing table with an index over its routes.
 #[derive(Clone, Debug)]
 pub struct Routing {
     table: RoutingTable,
     routes_by_prefix: HashMap<String, HashMap<String, usize>>,
+    digest: RoutesDigest,
 }
 
 impl Routing {
-    /// Indexes `table`.
-    pub fn new(table: RoutingTable) -> Self {
+    /// Indexes `table`; of routes with one key the last one holds.
+    pub fn new(mut table: RoutingTable) -> Self {
         let mut routes_by_prefix: HashMap<String, HashMap<String, usize>> = HashMap::new();
-        for (index, route) in table.routes.iter().enumerate() {
+        let mut routes: Vec<Route> = Vec::with_capacity(table.routes.len());
+        for route in std::mem::take(&mut table.routes) {
             let of_host = routes_by_prefix.entry(route.host.clone()).or_default();
-            of_host.insert(route.path_prefix.clone(), index);
+            match of_host.entry(route.path_prefix.clone()) {
+                Entry::Occupied(known) => routes[*known.get()] = route,
+                Entry::Vacant(place) => {
+                    place.insert(routes.len());
+                    routes.push(route);
+                }
+            }
         }
-        Self { table, routes_by_prefix }
+        let digest = routes
+            .iter()
+            .fold(0, |digest: RoutesDigest, route| digest.wrapping_add(route.digest()));
+        table.routes = routes;
+        Self { table, routes_by_prefix, digest }
+    }
+
+    /// All routes, in no order.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.table.routes.iter()
+    }
+
+    /// The route of exactly this host and prefix.
+    pub fn route_of(&self, host: &str, path_prefix: &str) -> Option<&Route> {
+        let index = self.routes_by_prefix.get(host)?.get(path_prefix)?;
+        Some(&self.table.routes[*index])
+    }
+
+    /// Digest of all routes.
+    pub fn digest(&self) -> RoutesDigest {
+        self.digest
     }
 
     /// The table as it was accepted.
--- /dev/null
+++ b/crates/yuccarack_config/tests/routing_changes.rs
@@ -0,0 +1,115 @@
+//! Changes between routing tables make the same table as the whole of it.
+
+use std::collections::BTreeMap;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use yuccarack_config::{
+    routing::{CallerLimits, Route, RoutedService, Routing, RoutingTable, WeightedService},
+    routing_changes::{ChangesError, RoutingChanges},
+};
+
+const RUNS: u64 = 300;
+
+/// A few hosts and prefixes, so that tables overlap.
+#[derive(Clone, Debug)]
+struct Routes(BTreeMap<(u8, u8), (u8, bool)>);
+
+impl Arbitrary for Routes {
+    fn arbitrary(gen_: &mut Gen) -> Self {
+        let key = |gen_: &mut Gen| (u8::arbitrary(gen_) % 3, u8::arbitrary(gen_) % 8);
+        let count = usize::from(u8::arbitrary(gen_) % 20);
+        Self(
+            (0..count)
+                .map(|_| (key(gen_), (u8::arbitrary(gen_) % 3, bool::arbitrary(gen_))))
+                .collect(),
+        )
+    }
+}
+
+impl Routes {
+    fn routing(&self, version: u64) -> Routing {
+        let route = |(key, value): (&(u8, u8), &(u8, bool))| Route {
+            name: format!("r{}-{}", key.0, key.1),
+            host: format!("h{}", key.0),
+            path_prefix: format!("/{}/", key.1),
+            is_repeatable: value.1,
+            is_upload: false,
+            split: vec![WeightedService { service: format!("s{}", value.0), weight: 1 }],
+            wait_max_ms: 900,
+            on_time_ms: 300,
+            targets_max: 2,
+            rank: value.0,
+        };
+        let service = RoutedService {
+            name: format!("s{version}"),
+            load_path: "/".to_owned(),
+            connections_max: 9,
+        };
+        Routing::new(RoutingTable {
+            version,
+            routes: self.0.iter().map(route).collect(),
+            services: vec![service],
+            caller_limits: CallerLimits::default(),
+        })
+    }
+}
+
+/// Routes in the order of their keys, and all the rest.
+fn sorted(routing: &Routing) -> RoutingTable {
+    let mut table = routing.table().clone();
+    table.routes.sort_by_key(Route::key);
+    table
+}
+
+#[test]
+fn changes_make_the_same_table_as_the_whole() {
+    fn holds(first: Routes, second: Routes) -> bool {
+        let (first, second) = (first.routing(4), second.routing(9));
+        let changed = RoutingChanges::between(&first, &second).apply(Some(&first));
+        let whole = RoutingChanges::whole(&second).apply(Some(&first));
+        let changed = changed.expect("a table");
+        sorted(&changed) == sorted(&second)
+            && changed.digest() == second.digest()
+            && sorted(&whole.expect("a table")) == sorted(&second)
+    }
+    QuickCheck::new().tests(RUNS).quickcheck(holds as fn(Routes, Routes) -> bool);
+}
+
+#[test]
+fn merged_changes_make_the_same_table_as_one_after_the_other() {
+    fn holds(tables: (Routes, Routes, Routes)) -> bool {
+        let (first, second, third) =
+            (tables.0.routing(4), tables.1.routing(9), tables.2.routing(11));
+        let one = RoutingChanges::between(&first, &second);
+        let other = RoutingChanges::between(&second, &third);
+        let merged = one.then(&other).expect("consecutive changes");
+        let from_whole = RoutingChanges::whole(&second).then(&other).expect("consecutive changes");
+        sorted(&merged.apply(Some(&first)).expect("a table")) == sorted(&third)
+            && sorted(&from_whole.apply(None).expect("a table")) == sorted(&third)
+    }
+    let holds = holds as fn((Routes, Routes, Routes)) -> bool;
+    QuickCheck::new().tests(RUNS).quickcheck(holds);
+}
+
+/// Guards against changes that are applied to a table other than the one they were made for.
+#[test]
+fn changes_of_another_base_are_refused() {
+    let routes = Routes(BTreeMap::from([((0, 0), (0, true)), ((0, 1), (0, true))]));
+    let grown = Routes(BTreeMap::from([((0, 0), (0, true)), ((0, 2), (1, true))]));
+    let changes = RoutingChanges::between(&routes.routing(4), &grown.routing(9));
+    let older = changes.apply(Some(&routes.routing(3)));
+    assert_eq!(older.err(), Some(ChangesError::Base { base: 4, version: 3 }));
+    let differing = Routes(BTreeMap::from([((0, 0), (2, true)), ((0, 1), (0, true))]));
+    let other = changes.apply(Some(&differing.routing(4)));
+    assert!(matches!(other, Err(ChangesError::Digest { .. })), "{other:?}");
+    assert_eq!(changes.then(&changes), Err(ChangesError::Base { base: 4, version: 9 }));
+}
+
+/// Guards against a table whose changes can't be told, since two of its routes have one key.
+#[test]
+fn of_routes_with_one_key_the_last_one_holds() {
+    let mut table = Routes(BTreeMap::from([((0, 0), (0, true))])).routing(4).table().clone();
+    let last = Route { rank: 7, ..table.routes[0].clone() };
+    table.routes.push(last.clone());
+    assert_eq!(Routing::new(table).table().routes, vec![last]);
+}
--- a/crates/yuccarackd/src/coordination/routed/gate/door.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/door.rs
@@ -10,7 +10,7 @@
     protocol::{
         body::{CallBody, SendableBody},
         hop::{HOP, Hop},
-        peer_news::{CRASHED, NEWS},
+        peer_news::{CRASHED, NewsQuestion},
         refusal::{Reason, Refusal},
     },
     transport::call_server::{Arrival, CallHandler},
@@ -48,7 +48,7 @@
         _arrival: Arrival,
         request: Request<CallBody>,
     ) -> Response<CallBody> {
-        if let Some(question) = request.headers().get(NEWS) {
+        if let Some(question) = NewsQuestion::from_headers(request.headers()) {
             return self.peers.answer(question);
         }
         if let Some(word) = request.headers().get(CRASHED) {
--- a/crates/yuccarackd/src/coordination/routed/lines/news.rs
+++ b/crates/yuccarackd/src/coordination/routed/lines/news.rs
@@ -60,6 +60,17 @@
         behind_ms: u64,
     }
 
+    /// Changes of the routing table that a peer sent can't be used; the whole table is fetched.
+    RoutingChangesRefused = "routing_changes_refused", "changes of the routing table refused", Warning, Some(EventKind::RoutingNotRead);
+    {
+        /// Address of the peer.
+        peer: String,
+        /// Version that they lead to.
+        version: RoutingVersion,
+        /// Why.
+        cause: String,
+    }
+
     /// A field of the operators' document is missing or not understood, and was read in a safe sense.
     RoutingSubstituted = "routing_substituted", "field of the operators' document substituted", Warning, None;
     {
--- a/crates/yuccarackd/src/coordination/routed/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/mod.rs
@@ -12,5 +12,6 @@
 pub mod publish;
 pub mod relay_follower;
 pub mod relay_lines;
+pub mod routing_packer;
 pub mod store_client;
 pub mod sweeper;
--- a/crates/yuccarackd/src/coordination/routed/peers.rs
+++ b/crates/yuccarackd/src/coordination/routed/peers.rs
@@ -19,22 +19,23 @@
     time::{Instant, error::Elapsed, sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
-use yuccarack_config::{ids::Revision, routing::RoutingVersion};
+use yuccarack_config::{ids::Revision, routing::RoutingVersion, routing_changes::ChangesError};
 use yuccarack_platform::transfer::{TransferError, read_whole};
 use yuccarack_policy::relays::relays_of;
 
 use super::{
     events::EventLog,
     follow::{not_read, whole_ms},
-    lines::{MemberChanged, NewsNotWritten, RoutingInForce},
+    lines::{MemberChanged, NewsNotWritten, RoutingChangesRefused, RoutingInForce},
     relay_lines::RelayLines,
+    routing_packer::RoutingPacker,
 };
 use crate::{
     coordination::jitter::jittered,
     protocol::{
         body::{self, BodyError, CallBody},
-        forwarding,
-        peer_news::{DatedMember, KnownUpTo, NEWS, NewsQuestion, PeerNews},
+        packed_changes::{PackError, PackedChanges},
+        peer_news::{DatedMember, KnownUpTo, NewsQuestion, NewsQuestionError, PeerNews},
     },
     state::{
         counters::Counters,
@@ -125,6 +126,7 @@
 
 struct Inner {
     parts: PeersParts,
+    packer: RoutingPacker,
     /// Daemons that sent requests here, for one that knows nobody else.
     senders: Mutex<Vec<SocketAddr>>,
     /// Who was heard to have a newer routing table.
@@ -136,8 +138,10 @@
 impl Peers {
     /// Works with `parts`.
     pub fn new(parts: PeersParts) -> Self {
+        let packer = RoutingPacker::new(parts.routing.clone(), parts.events.clone());
         let inner = Inner {
             parts,
+            packer,
             senders: Mutex::default(),
             newer_at: Mutex::default(),
             heard: Notify::new(),
@@ -229,10 +233,9 @@
     }
 
     /// Answers the question of a peer.
-    pub fn answer(&self, question: &HeaderValue) -> Response<CallBody> {
+    pub fn answer(&self, question: Result<NewsQuestion, NewsQuestionError>) -> Response<CallBody> {
         let parts = &self.inner.parts;
-        let question = question.to_str().ok().and_then(|text| text.parse::<NewsQuestion>().ok());
-        let Some(question) = question else {
+        let Ok(question) = question else {
             parts.counters.add("peers.unreadable");
             return status_only(StatusCode::BAD_REQUEST);
         };
@@ -251,8 +254,14 @@
     /// What `question` asks for, with `known` as what is known of the store.
     pub(super) fn news_for(&self, question: &NewsQuestion, known: Option<KnownUpTo>) -> PeerNews {
         let parts = &self.inner.parts;
+        // Before the table is looked at: a version whose table is not sent would count as sent.
+        let routing_version = parts.routing.version();
         let is_newer = |version| version > question.routing_version;
-        let routing = parts.routing.current().filter(|routing| is_newer(routing.version()));
+        let (routing, changes) = match question.takes_changes {
+            true => (None, self.inner.packer.changes_since(question.routing_version)),
+            false => (parts.routing.current(), None),
+        };
+        let routing = routing.filter(|routing| is_newer(routing.version()));
         // Who went before this daemon listed the members is not among the changes that it knows.
         let after = question.members_after;
         let knows_changes = |after: Revision| parts.news.knows_who_went_after(after);
@@ -260,8 +269,9 @@
         let after = if is_whole { Some(0) } else { after };
         let members = after.map(|after| parts.members.changed_after(after));
         PeerNews {
-            routing_version: parts.routing.version(),
+            routing_version,
             routing: routing.map(|routing| routing.table().clone()),
+            changes: changes.map(|changes| PackedChanges::clone(&changes)),
             members: members.unwrap_or_default(),
             is_whole,
             known,
@@ -296,6 +306,7 @@
             routing_version: self.inner.parts.routing.version(),
             members_after: (wanted == Wanted::All).then_some(0),
             is_lasting: false,
+            takes_changes: true,
         };
         let asked = self.send(address, &question, Freshness::Kept);
         let answer = timeout(ANSWER_TIMEOUT, asked).await??;
@@ -312,7 +323,7 @@
     ) -> Result<Response<CallBody>, SendError> {
         let mut request = Request::new(body::empty());
         let map = request.headers_mut();
-        forwarding::set(map, NEWS, &question.to_string());
+        question.write_to(map);
         map.insert(header::HOST, HeaderValue::from_static("peer"));
         self.inner.parts.upstream.send(address, request, freshness).await
     }
@@ -321,6 +332,9 @@
     pub(super) fn take(&self, address: SocketAddr, news: PeerNews) {
         let parts = &self.inner.parts;
         let listed = news.whole_as_of();
+        if let Some(changes) = &news.changes {
+            self.take_changes(address, changes);
+        }
         if let Some(table) = news.routing {
             let version = table.version;
             let behind_ms = whole_ms(parts.routing.behind_for());
@@ -342,6 +356,39 @@
             parts.news.set_members_listed(revision);
         }
     }
+
+    fn take_changes(&self, address: SocketAddr, packed: &PackedChanges) {
+        let parts = &self.inner.parts;
+        let version = packed.version;
+        if version <= parts.routing.version() {
+            return;
+        }
+        let behind_ms = whole_ms(parts.routing.behind_for());
+        let applied = packed.unpack().map_err(ChangesRefused::from);
+        match applied.and_then(|changes| Ok(parts.routing.apply(changes)?)) {
+            Ok(false) => {}
+            Ok(true) => {
+                let from = address.to_string();
+                parts.events.write(|| RoutingInForce { version, revision: None, from, behind_ms });
+            }
+            Err(error) => {
+                parts.counters.add("routing.changes_refused");
+                let (peer, cause) = (address.to_string(), error.to_string());
+                parts.events.write(|| RoutingChangesRefused { peer, version, cause });
+            }
+        }
+    }
+}
+
+/// Why changes of the routing table were not taken.
+#[derive(Debug, Error)]
+enum ChangesRefused {
+    /// They can't be unpacked.
+    #[error(transparent)]
+    Unreadable(#[from] PackError),
+    /// They don't fit the table in force.
+    #[error(transparent)]
+    Unfit(#[from] ChangesError),
 }
 
 fn status_only(status: StatusCode) -> Response<CallBody> {
--- a/crates/yuccarackd/src/coordination/routed/relay_follower.rs
+++ b/crates/yuccarackd/src/coordination/routed/relay_follower.rs
@@ -164,6 +164,7 @@
             routing_version: parts.routing.version(),
             members_after: Some(parts.news.known_up_to(Followed::Members).unwrap_or(0)),
             is_lasting: true,
+            takes_changes: true,
         };
         let asked = self.peers.send(address, &question, Freshness::New);
         let mut lines = Lines::new(timeout(FIRST_LINE_MAX, asked).await??.into_body());
--- a/crates/yuccarackd/src/coordination/routed/relay_lines.rs
+++ b/crates/yuccarackd/src/coordination/routed/relay_lines.rs
@@ -26,12 +26,13 @@
 /// change that has to be in force within 2 s. An empty line is some 90 bytes with its headers.
 pub const LINE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Most routes of a table that is told on; a route takes some 200 bytes.
-///
-/// Failure: ten daemons are told a table of 1,400 routes over a link of 10 Mbit/s at once. The link is
-/// taken for 2 s, the relay's own requests wait behind it, and connections to it aren't made in time.
-/// Who hears only of the version reads the table of the store.
-const TOLD_ROUTES_MAX: usize = 100;
+/// Most packed changes of the routing table in one line, in bytes: sent to ten daemons at once, they
+/// keep a link of 10 Mbit/s busy for half a second. A daemon that gets only the version of larger ones
+/// reads the table from the store.
+const CHANGES_MAX_BYTES: usize = 64 * 1024;
+
+/// Most routes in a whole table for a daemon that doesn't take changes; a route takes some 200 bytes.
+const WHOLE_ROUTES_MAX: usize = 100;
 
 /// Pause before a line, so that rows which come together are told together; small against the 2 s in
 /// which a change has to be in force.
@@ -80,7 +81,8 @@
         let is_leaving = self.peers.parts().leaving.is_cancelled();
         let known = if is_leaving { None } else { self.peers.parts().news.to_relay() };
         let mut news = self.peers.news_for(&self.question, known);
-        news.routing.take_if(|table| table.routes.len() > TOLD_ROUTES_MAX);
+        news.routing.take_if(|table| table.routes.len() > WHOLE_ROUTES_MAX);
+        news.changes.take_if(|changes| changes.body.len() > CHANGES_MAX_BYTES);
         self.has_ended = news.known.is_none();
         self.note(&news);
         match serde_json::to_vec(&news) {
--- /dev/null
+++ b/crates/yuccarackd/src/coordination/routed/routing_packer.rs
@@ -0,0 +1,53 @@
+//! Packs changes of the routing table once for all daemons that lack the same ones.
+
+use std::{collections::HashMap, sync::Arc};
+
+use parking_lot::Mutex;
+use yuccarack_config::routing::RoutingVersion;
+
+use super::{events::EventLog, lines::NewsNotWritten};
+use crate::{protocol::packed_changes::PackedChanges, state::routed::routing_state::RoutingState};
+
+/// Packed changes that lead to the table in force, by the version from which they start.
+pub struct RoutingPacker {
+    routing: RoutingState,
+    events: EventLog,
+    packed: Mutex<Packed>,
+}
+
+#[derive(Default)]
+struct Packed {
+    version: RoutingVersion,
+    by_base: HashMap<RoutingVersion, Arc<PackedChanges>>,
+}
+
+impl RoutingPacker {
+    /// Packs changes of `routing`.
+    pub fn new(routing: RoutingState, events: EventLog) -> Self {
+        Self { routing, events, packed: Mutex::default() }
+    }
+
+    /// What a daemon lacks that has the table of version `base`; none if that isn't an older one.
+    pub fn changes_since(&self, base: RoutingVersion) -> Option<Arc<PackedChanges>> {
+        let mut packed = self.packed.lock();
+        let version = self.routing.version();
+        if packed.version != version {
+            *packed = Packed { version, by_base: HashMap::new() };
+        }
+        if let Some(known) = packed.by_base.get(&base) {
+            return Some(Arc::clone(known));
+        }
+        let changes = self.routing.changes_since(base)?;
+        match PackedChanges::new(&changes) {
+            Ok(changes) => {
+                let changes = Arc::new(changes);
+                packed.by_base.insert(base, Arc::clone(&changes));
+                Some(changes)
+            }
+            Err(error) => {
+                self.events.write(|| NewsNotWritten { cause: error.to_string() });
+                None
+            }
+        }
+    }
+}
--- a/crates/yuccarackd/src/protocol/forwarding.rs
+++ b/crates/yuccarackd/src/protocol/forwarding.rs
@@ -9,7 +9,7 @@
 use super::{
     gate_word::GATE_WORD,
     hop::HOP,
-    peer_news::{CRASHED, NEWS},
+    peer_news::{CRASHED, NEWS, NEWS_CHANGES},
 };
 
 /// Headers that speak of one connection only (RFC 9110, section 7.6.1).
@@ -25,7 +25,7 @@
 ];
 
 /// Headers by which daemons speak to each other; outside callers can't set them.
-const BETWEEN_DAEMONS: [&str; 11] = [
+const BETWEEN_DAEMONS: [&str; 12] = [
     headers::OUTCOME,
     headers::REASON,
     headers::INSTANCE,
@@ -36,6 +36,7 @@
     HOP,
     GATE_WORD,
     NEWS,
+    NEWS_CHANGES,
     CRASHED,
 ];
 
--- a/crates/yuccarackd/src/protocol/mod.rs
+++ b/crates/yuccarackd/src/protocol/mod.rs
@@ -7,6 +7,7 @@
 pub mod forwarding;
 pub mod gate_word;
 pub mod hop;
+pub mod packed_changes;
 pub mod peer_news;
 pub mod refusal;
 pub mod status;
--- a/crates/yuccarackd/src/protocol/peer_news.rs
+++ b/crates/yuccarackd/src/protocol/peer_news.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, net::SocketAddr, str::FromStr};
 
+use http::HeaderMap;
 use thiserror::Error;
 use yuccarack_config::{
     ids::{DomainName, InstanceId, Revision, ServiceName},
@@ -9,9 +10,14 @@
     shared_data,
 };
 
+use super::{forwarding, packed_changes::PackedChanges};
+
 /// Header of a question for news; its value is a [`NewsQuestion`].
 pub const NEWS: &str = "yuccarack-news";
 
+/// Header of a question whose asker takes changes of the routing table instead of the whole.
+pub const NEWS_CHANGES: &str = "yuccarack-news-changes";
+
 /// Header by which a gate tells others of requests that were running when its target died: their
 /// fingerprints in hex, with commas between.
 pub const CRASHED: &str = "yuccarack-crashed";
@@ -25,6 +31,29 @@
     pub members_after: Option<Revision>,
     /// Whether the answer goes on with each change, a line of JSON for each, until one side ends it.
     pub is_lasting: bool,
+    /// Whether the asker takes changes of the routing table instead of the whole.
+    pub takes_changes: bool,
+}
+
+impl NewsQuestion {
+    /// Reads the question from `headers`; none if there is no question.
+    ///
+    /// # Errors
+    ///
+    /// [`NewsQuestionError`].
+    pub fn from_headers(headers: &HeaderMap) -> Option<Result<Self, NewsQuestionError>> {
+        let text = headers.get(NEWS)?.to_str().map_err(|_| NewsQuestionError);
+        let takes_changes = headers.contains_key(NEWS_CHANGES);
+        Some(text.and_then(str::parse).map(|question: Self| Self { takes_changes, ..question }))
+    }
+
+    /// Writes the question into `headers`.
+    pub fn write_to(&self, headers: &mut HeaderMap) {
+        forwarding::set(headers, NEWS, &self.to_string());
+        if self.takes_changes {
+            forwarding::set(headers, NEWS_CHANGES, "1");
+        }
+    }
 }
 
 /// A question for news in another form.
@@ -34,7 +63,7 @@
 
 impl fmt::Display for NewsQuestion {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { routing_version, members_after, is_lasting } = self;
+        let Self { routing_version, members_after, is_lasting, takes_changes: _ } = self;
         match members_after {
             Some(revision) => write!(f, "{routing_version};{revision};{}", u8::from(*is_lasting)),
             None => write!(f, "{routing_version};-;{}", u8::from(*is_lasting)),
@@ -59,7 +88,7 @@
             _ => return Err(NewsQuestionError),
         };
         match fields.next() {
-            None => Ok(Self { routing_version, members_after, is_lasting }),
+            None => Ok(Self { routing_version, members_after, is_lasting, takes_changes: false }),
             Some(_) => Err(NewsQuestionError),
         }
     }
@@ -100,8 +129,12 @@
     pub struct PeerNews {
         /// Version of its routing table, 0 without one.
         pub routing_version: RoutingVersion,
-        /// The table, if it is newer than the asker's; an answer that goes on leaves large ones out.
+        /// The table, if it is newer than the asker's and that one doesn't take changes; an answer that
+        /// goes on leaves large ones out.
         pub routing: Option<RoutingTable>,
+        /// What the asker's table lacks; an answer that goes on leaves it out if it is large.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub changes: Option<PackedChanges>,
         /// The members that were asked for.
         pub members: Vec<DatedMember>,
         /// Whether those are all that there are; others have gone.
--- a/crates/yuccarackd/src/state/routed/mod.rs
+++ b/crates/yuccarackd/src/state/routed/mod.rs
@@ -5,5 +5,6 @@
 pub mod members;
 pub mod metrics;
 pub mod news_source;
+pub mod recent_changes;
 pub mod routing_state;
 pub mod target;
--- a/crates/yuccarackd/src/state/routed/routing_state.rs
+++ b/crates/yuccarackd/src/state/routed/routing_state.rs
@@ -7,7 +7,12 @@
 
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
-use yuccarack_config::routing::{Routing, RoutingTable, RoutingVersion};
+use yuccarack_config::{
+    routing::{Routing, RoutingTable, RoutingVersion},
+    routing_changes::{ChangesError, RoutingChanges},
+};
+
+use super::recent_changes::RecentChanges;
 
 /// The routing table in force; clones share it.
 #[derive(Clone, Debug)]
@@ -30,6 +35,7 @@
 struct InForce {
     routing: Arc<Routing>,
     since: Instant,
+    recent: RecentChanges,
 }
 
 impl RoutingState {
@@ -90,13 +96,58 @@
     /// Failure: an answer of the store that was long on its way, or a peer that lags, brings an
     /// older table, and requests go where operators no longer want them.
     pub fn offer(&self, table: RoutingTable) -> bool {
+        let current = self.current();
+        if current.as_ref().is_some_and(|current| current.version() >= table.version) {
+            return false;
+        }
+        // Outside the lock, so that calls don't wait while a large table is indexed and compared.
+        let routing = Routing::new(table);
+        let changes = current.map(|current| RoutingChanges::between(&current, &routing));
+        self.install(routing, changes)
+    }
+
+    /// Puts the table in force that `changes` make of the current one, if it is newer; says whether it is.
+    ///
+    /// # Errors
+    ///
+    /// [`ChangesError`] if they don't fit the current table, which stays in force.
+    pub fn apply(&self, changes: RoutingChanges) -> Result<bool, ChangesError> {
+        let current = self.current();
+        if current.as_ref().is_some_and(|current| current.version() >= changes.version) {
+            return Ok(false);
+        }
+        let routing = changes.apply(current.as_deref())?;
+        let changes = match (changes.is_whole(), current) {
+            (false, _) => Some(changes),
+            (true, Some(current)) => Some(RoutingChanges::between(&current, &routing)),
+            (true, None) => None,
+        };
+        Ok(self.install(routing, changes))
+    }
+
+    /// What turns the table of version `base` into the current one; all of it where `base` is too old.
+    /// None without a table, or if `base` is not older.
+    pub fn changes_since(&self, base: RoutingVersion) -> Option<RoutingChanges> {
+        let current = self.current.read();
+        let InForce { routing, recent, .. } = current.as_ref()?;
+        if base >= routing.version() {
+            return None;
+        }
+        let whole = || RoutingChanges::whole(routing);
+        Some(recent.since(base).unwrap_or_else(whole))
+    }
+
+    /// Puts `routing` in force unless a newer one came meanwhile; `changes` lead to it from the table
+    /// that it was compared with.
+    fn install(&self, routing: Routing, changes: Option<RoutingChanges>) -> bool {
+        let version = routing.version();
         let mut current = self.current.write();
-        if current.as_ref().is_some_and(|known| known.routing.version() >= table.version) {
+        if current.as_ref().is_some_and(|known| known.routing.version() >= version) {
             return false;
         }
-        let version = table.version;
-        let routing = Arc::new(Routing::new(table));
-        *current = Some(InForce { routing, since: Instant::now() });
+        let mut recent = current.take().map(|known| known.recent).unwrap_or_default();
+        recent.push(changes);
+        *current = Some(InForce { routing: Arc::new(routing), since: Instant::now(), recent });
         drop(current);
         let mut newer = self.newer.lock();
         self.changed.send_replace(version);
--- a/crates/yuccarackd/tests/relay_lines.rs
+++ b/crates/yuccarackd/tests/relay_lines.rs
@@ -52,8 +52,12 @@
             counters: counters.clone(),
             events: EventLog::new(Logger::root(Discard, o!()), counters, 100),
         });
-        let question =
-            NewsQuestion { routing_version: 0, members_after: Some(1), is_lasting: true };
+        let question = NewsQuestion {
+            routing_version: 0,
+            members_after: Some(1),
+            is_lasting: true,
+            takes_changes: true,
+        };
         let lines = RelayLines::new(peers, question).into_body();
         Self { members, news, leaving, lines }
     }
--- a/crates/yuccarackd/tests/routed/relays.rs
+++ b/crates/yuccarackd/tests/routed/relays.rs
@@ -167,23 +167,39 @@
     in_force_at(&deployment, &told).await;
 }
 
-/// Story: operators add hundreds of routes. Told on, the table would take a relay's slow link for
-/// seconds; so daemons hear of its version and read it of the store, or of the relay where the store
-/// turns them away.
-#[tokio::test]
-async fn a_large_table_is_not_told_on_and_is_in_force_all_the_same() {
-    let mut deployment = settled("relays-large").await;
+/// Adds `count` routes whose prefixes have no order that compresses well.
+fn with_routes_added(count: u64) -> Vec<RouteSpec> {
+    let prefix = |number: u64| {
+        let scattered = (number + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        format!("/added/{number}/{scattered:x}/")
+    };
+    let mut routes = moved();
+    routes.extend((0..count).map(|number| RouteSpec::reads(READS, prefix(number), "board")));
+    routes
+}
+
+/// Questions to the store by one notified daemon until a table with `count` added routes is in force
+/// everywhere, though the store refuses another one.
+async fn questions_for_added_routes(name: &str, count: u64) -> u64 {
+    let mut deployment = settled(name).await;
     let told: Vec<usize> = told().into_keys().collect();
     deployment.instances[told[0]].door.set(DoorMode::Refusing);
-    let asked = |deployment: &Deployment| deployment.instances[told[1]].door.questions();
-    let before = asked(&deployment);
-    let mut routes = moved();
-    routes.extend(
-        (0..300).map(|number| RouteSpec::reads(READS, format!("/added/{number}/"), "board")),
-    );
-    deployment.write(&routes);
+    let before = deployment.instances[told[1]].door.questions();
+    deployment.write(&with_routes_added(count));
     in_force_at(&deployment, &told).await;
-    assert_eq!(asked(&deployment) - before, 1, "questions of a daemon that heard of a version");
+    deployment.instances[told[1]].door.questions() - before
+}
+
+/// Guards against a large table that jams a relay's thin link: changes above a bound are fetched.
+#[tokio::test]
+async fn changes_above_a_bound_are_not_told_on_and_are_in_force_all_the_same() {
+    assert_eq!(questions_for_added_routes("relays-large", 4_500).await, 1);
+}
+
+/// Guards against a question to the store by each daemon for changes that a relay can pass on.
+#[tokio::test]
+async fn hundreds_of_added_routes_are_told_on() {
+    assert_eq!(questions_for_added_routes("relays-added", 300).await, 0);
 }
 
 /// Story: an instance loses its power for good. Nobody takes its row away, and for years each daemon
--- /dev/null
+++ b/crates/yuccarackd/tests/routing_state.rs
@@ -0,0 +1,129 @@
+//! Which routing table is in force, and what others lack of it.
+
+use std::time::Duration;
+
+use yuccarack_config::{
+    routing::{CallerLimits, Route, RoutedService, Routing, RoutingTable, WeightedService},
+    routing_changes::{ChangesError, RoutingChanges},
+};
+use yuccarackd::{
+    protocol::packed_changes::PackedChanges, state::routed::routing_state::RoutingState,
+};
+
+fn route(number: usize) -> Route {
+    // Prefixes of real tables have no order that compresses well.
+    let scattered = (number as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    Route {
+        name: format!("r-{number}"),
+        host: "reads.example".to_owned(),
+        path_prefix: format!("/{scattered:x}/"),
+        is_repeatable: true,
+        is_upload: false,
+        split: vec![WeightedService { service: "board".to_owned(), weight: 1 }],
+        wait_max_ms: 900,
+        on_time_ms: 300,
+        targets_max: 2,
+        rank: 1,
+    }
+}
+
+/// A table of `count` routes.
+fn table(version: u64, count: usize) -> RoutingTable {
+    let service = RoutedService {
+        name: "board".to_owned(),
+        load_path: "/health".to_owned(),
+        connections_max: 240,
+    };
+    RoutingTable {
+        version,
+        routes: (0..count).map(route).collect(),
+        services: vec![service],
+        caller_limits: CallerLimits::default(),
+    }
+}
+
+/// Routes of the table in force.
+fn routes(state: &RoutingState) -> usize {
+    state.current().map_or(0, |routing| routing.routes().count())
+}
+
+#[test]
+fn changes_since_a_kept_version_name_only_what_differs() {
+    let state = RoutingState::new();
+    for (version, count) in [(4, 1_000), (9, 1_001), (11, 1_003)] {
+        assert!(state.offer(table(version, count)));
+    }
+    let changes = state.changes_since(4).expect("changes");
+    assert_eq!((changes.base, changes.version, changes.routes.len()), (4, 11, 3));
+    assert!(state.changes_since(11).is_none());
+    let unknown = state.changes_since(7).expect("the whole table");
+    assert!(unknown.is_whole() && unknown.routes.len() == 1_003);
+}
+
+/// Guards against an older table that replaces a newer one.
+#[test]
+fn an_older_table_is_not_taken_in_either_form() {
+    let state = RoutingState::new();
+    assert!(state.offer(table(9, 3)));
+    assert!(!state.offer(table(4, 7)));
+    let older = RoutingChanges::whole(&Routing::new(table(8, 7)));
+    assert_eq!(state.apply(older), Ok(false));
+    assert_eq!((state.version(), routes(&state)), (9, 3));
+}
+
+/// Guards against changes that are applied to another table than the one they were made for.
+#[test]
+fn changes_that_do_not_fit_leave_the_table_in_force() {
+    let (state, other) = (RoutingState::new(), RoutingState::new());
+    assert!(state.offer(table(4, 3)));
+    for (version, count) in [(5, 3), (9, 5)] {
+        assert!(other.offer(table(version, count)));
+    }
+    let changes = other.changes_since(5).expect("changes");
+    assert_eq!(state.apply(changes), Err(ChangesError::Base { base: 5, version: 4 }));
+    assert_eq!((state.version(), routes(&state)), (4, 3));
+    assert_eq!(state.apply(other.changes_since(0).expect("the whole table")), Ok(true));
+    assert_eq!((state.version(), routes(&state)), (9, 5));
+}
+
+/// Guards against a daemon that can pass on only what it fetched whole.
+#[test]
+fn changes_that_were_applied_are_passed_on() {
+    let (first, second) = (RoutingState::new(), RoutingState::new());
+    for version in [4, 9] {
+        assert!(first.offer(table(version, version as usize)));
+    }
+    assert!(second.offer(table(4, 4)));
+    assert_eq!(second.apply(first.changes_since(4).expect("changes")), Ok(true));
+    assert_eq!(second.changes_since(4).expect("changes"), first.changes_since(4).expect("changes"));
+}
+
+#[test]
+fn the_time_behind_runs_from_the_first_newer_version_on() {
+    let state = RoutingState::new();
+    assert!(state.offer(table(4, 1)));
+    assert!(!state.note_version(4));
+    assert_eq!(state.behind_for(), Duration::ZERO);
+    assert!(state.note_version(9) && state.note_version(7));
+    assert_eq!(state.newest_version(), 9);
+    std::thread::sleep(Duration::from_millis(5));
+    assert!(state.offer(table(7, 1)));
+    assert!(state.behind_for() >= Duration::from_millis(5), "9 is still missing");
+    assert!(state.offer(table(9, 1)));
+    assert_eq!((state.behind_for(), state.newest_version()), (Duration::ZERO, 9));
+}
+
+/// Guards against packed changes that cost a thin link as much as the table.
+#[test]
+fn many_added_routes_are_packed_into_a_fraction_of_the_table() {
+    let state = RoutingState::new();
+    for (version, count) in [(4, 3_000), (9, 4_400)] {
+        assert!(state.offer(table(version, count)));
+    }
+    let changes = state.changes_since(4).expect("changes");
+    let packed = PackedChanges::new(&changes).expect("packed changes");
+    let table_bytes = serde_json::to_vec(&table(9, 4_400)).expect("JSON").len();
+    println!("{} bytes packed, {table_bytes} bytes of JSON", packed.body.len());
+    assert!(packed.body.len() * 16 < table_bytes, "{} of {table_bytes}", packed.body.len());
+    assert_eq!(packed.unpack().expect("changes"), changes);
+}
