One transfer of a routing table at a time, tried again until it is in force

Callers saw: requests routed by an older table for seconds after a change (CONFIG). Cause: word of a newer version (each hop and each answer carries one) started a question to a peer beside the reading from the store, over the same link, so that neither ended in its time; and after a failure nothing was tried before the next word. A relay's further lines waited behind the reading. Change: CatchUp alone fetches a table that the usual news don't bring, from peers and the store by turns with jittered backoff until the newest known version is in force; it starts nothing while a transfer of the table makes progress (Transfers). Peers are not asked for news meanwhile either.

--- /dev/null
+++ b/crates/yuccarackd/src/coordination/routed/catch_up.rs
@@ -0,0 +1,103 @@
+//! Fetches a routing table that is known to exist and that the usual news have not brought.
+
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+use yuccarack_config::routing::RoutingVersion;
+
+use super::{
+    follow::Follower,
+    peers::{NewerTable, Peers},
+};
+use crate::{coordination::jitter::jittered, state::routed::news_source::NewsSource};
+
+/// Time that the store's feed or a relay has to bring a newer table before it is fetched: they
+/// usually bring it within 100 ms, and it costs no bytes between failure domains then.
+const NEWS_FIRST: Duration = Duration::from_millis(600);
+
+/// First wait after a try that did not bring the table.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+
+/// Longest such wait.
+const RETRY_MAX: Duration = Duration::from_secs(1);
+
+/// Time between two looks at a transfer that makes progress.
+const PROGRESS_LOOK: Duration = Duration::from_millis(50);
+
+/// Fetches newer routing tables, from the store and from peers by turns.
+pub struct CatchUp {
+    peers: Peers,
+    follower: Follower,
+}
+
+/// Where a table is fetched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Store,
+    Peer,
+}
+
+impl CatchUp {
+    /// Fetches from the store that `follower` reads, and from `peers`.
+    pub fn new(peers: Peers, follower: Follower) -> Self {
+        Self { peers, follower }
+    }
+
+    /// Runs until it is dropped.
+    pub async fn run(self) {
+        loop {
+            let newer = self.peers.newer_table().await;
+            if !newer.is_left_out && self.follower.news.source() != NewsSource::Nobody {
+                self.wait_for_news(newer.version).await;
+            }
+            self.fetch(newer).await;
+        }
+    }
+
+    /// Waits until the usual news have brought `version`, or their time is over.
+    async fn wait_for_news(&self, version: RoutingVersion) {
+        let mut versions = self.follower.routing.subscribe();
+        let brought = versions.wait_for(|known| *known >= version);
+        // Without the table in time it is fetched.
+        let _ = timeout(NEWS_FIRST, brought).await;
+    }
+
+    /// Tries until the newest version that is known of is in force.
+    async fn fetch(&self, newer: NewerTable) {
+        let mut source = if newer.is_left_out { Source::Store } else { Source::Peer };
+        let mut address = Some(newer.address);
+        let mut retry = RETRY_FIRST;
+        while self.is_behind() {
+            if self.follower.transfers.make_progress() {
+                sleep(PROGRESS_LOOK).await;
+                continue;
+            }
+            match source {
+                Source::Store => self.follower.read_routing().await,
+                Source::Peer => {
+                    if let Some(address) = address.take().or_else(|| self.peers.any_newer()) {
+                        self.peers.fetch_routing(address).await;
+                    }
+                }
+            }
+            source = self.next_source(source);
+            if self.is_behind() {
+                sleep(jittered(retry)).await;
+                retry = (retry * 2).min(RETRY_MAX);
+            }
+        }
+    }
+
+    fn is_behind(&self) -> bool {
+        let routing = &self.follower.routing;
+        routing.newest_version() > routing.version()
+    }
+
+    /// A store that doesn't answer is asked by its follower anyway.
+    fn next_source(&self, source: Source) -> Source {
+        match source {
+            Source::Peer if self.follower.news.source() != NewsSource::Nobody => Source::Store,
+            Source::Peer | Source::Store => Source::Peer,
+        }
+    }
+}
--- a/crates/yuccarackd/src/coordination/routed/follow.rs
+++ b/crates/yuccarackd/src/coordination/routed/follow.rs
@@ -26,6 +26,7 @@
             members::Members,
             news_source::{Followed, News, NewsSource},
             routing_state::RoutingState,
+            transfers::Transfers,
         },
     },
 };
@@ -85,6 +86,8 @@
     pub news: News,
     /// When it answered last.
     pub answers: StoreAnswers,
+    /// Transfers of the routing table.
+    pub transfers: Transfers,
 }
 
 /// When the store answered last; clones share it.
@@ -129,7 +132,8 @@
     /// Reads the operators' document once.
     pub async fn read_routing(&self) {
         let started_at = Instant::now();
-        match self.store.read(routing::TABLE).await {
+        let transfer = self.transfers.begin();
+        match self.store.read(routing::TABLE, |bytes| transfer.note(bytes)).await {
             Ok(all) => all.rows.into_iter().for_each(|row| self.take_routing(row)),
             Err(error) => {
                 self.counters.add("store.failures");
@@ -189,8 +193,14 @@
 
     /// Asks once; says whether there were changes.
     async fn step(&self, what: Followed, wait: Duration) -> Result<bool, FeedError> {
+        let transfer = (what == Followed::Routing).then(|| self.transfers.begin());
+        let on_bytes = |bytes| {
+            if let Some(transfer) = &transfer {
+                transfer.note(bytes);
+            }
+        };
         let Some(after) = self.news.known_up_to(what) else {
-            let all = self.store.read(table(what)).await?;
+            let all = self.store.read(table(what), on_bytes).await?;
             let listed = all.rows.iter().map(|row| row.key.clone()).collect::<Vec<_>>();
             all.rows.into_iter().for_each(|row| self.take(what, row));
             if what == Followed::Members {
@@ -202,7 +212,7 @@
             // When all start at once, the others are still writing their rows.
             return Ok(what == Followed::Members);
         };
-        let changes = self.store.changes(table(what), after, wait).await?;
+        let changes = self.store.changes(table(what), after, wait, on_bytes).await?;
         let has_changes = !changes.rows.is_empty();
         changes.rows.into_iter().for_each(|row| self.take(what, row));
         self.news.set_known(what, Some(changes.revision.max(after)));
--- a/crates/yuccarackd/src/coordination/routed/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/mod.rs
@@ -1,5 +1,6 @@
 //! Calls that are routed by host and path: entry, gate, and what both are told.
 
+pub mod catch_up;
 pub mod control_door;
 pub mod deadline;
 pub mod entry;
--- a/crates/yuccarackd/src/coordination/routed/peers.rs
+++ b/crates/yuccarackd/src/coordination/routed/peers.rs
@@ -1,14 +1,6 @@
 //! News from other daemons, for one that the store doesn't serve or that lags.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use parking_lot::Mutex;
@@ -43,6 +35,7 @@
             members::Members,
             news_source::{News, NewsSource},
             routing_state::RoutingState,
+            transfers::Transfers,
         },
     },
     transport::{
@@ -62,10 +55,6 @@
 /// and by those that it tells, who would have heard of them. A change has to be in force within 2 s.
 const CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Time that the store's own word has to come before a peer is asked for a newer table: it usually
-/// comes within 100 ms and costs no bytes between domains.
-const STORE_FIRST: Duration = Duration::from_millis(600);
-
 /// Longest wait for the head of a peer's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -114,6 +103,8 @@
     pub members: Members,
     /// Who tells this daemon of changes.
     pub news: News,
+    /// Transfers of the routing table.
+    pub transfers: Transfers,
     /// Cancelled once this daemon is asked to stop.
     pub leaving: CancellationToken,
     /// Connections to other gates.
@@ -129,10 +120,22 @@
     packer: RoutingPacker,
     /// Daemons that sent requests here, for one that knows nobody else.
     senders: Mutex<Vec<SocketAddr>>,
-    /// Who was heard to have a newer routing table.
-    newer_at: Mutex<Option<(SocketAddr, RoutingVersion)>>,
-    heard: Notify,
-    is_asking: AtomicBool,
+    /// Last word of a newer routing table.
+    newer: Mutex<Option<NewerTable>>,
+    newer_heard: Notify,
+    /// Held by the one question that is asked at a time.
+    asking: tokio::sync::Mutex<()>,
+}
+
+/// Word of a newer routing table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NewerTable {
+    /// Gate of a daemon that has it.
+    pub address: SocketAddr,
+    /// Its version.
+    pub version: RoutingVersion,
+    /// Whether that daemon's news left it out for its size, so that it has to be fetched.
+    pub is_left_out: bool,
 }
 
 impl Peers {
@@ -143,21 +146,58 @@
             parts,
             packer,
             senders: Mutex::default(),
-            newer_at: Mutex::default(),
-            heard: Notify::new(),
-            is_asking: AtomicBool::new(false),
+            newer: Mutex::default(),
+            newer_heard: Notify::new(),
+            asking: tokio::sync::Mutex::default(),
         };
         Self { inner: Arc::new(inner) }
     }
 
     /// Takes word that the daemon at `address` has the routing table of `version`.
     pub fn heard_version(&self, address: SocketAddr, version: RoutingVersion) {
-        if self.inner.parts.routing.note_version(version) {
-            *self.inner.newer_at.lock() = Some((address, version));
-            self.inner.heard.notify_one();
+        self.note_newer(NewerTable { address, version, is_left_out: false });
+    }
+
+    /// The same of one whose news left the table out for its size.
+    pub fn heard_left_out(&self, address: SocketAddr, version: RoutingVersion) {
+        self.note_newer(NewerTable { address, version, is_left_out: true });
+    }
+
+    fn note_newer(&self, newer: NewerTable) {
+        if self.inner.parts.routing.note_version(newer.version) {
+            *self.inner.newer.lock() = Some(newer);
+            self.inner.newer_heard.notify_one();
         }
     }
 
+    /// Waits until there is word of a newer routing table than the one in force.
+    pub async fn newer_table(&self) -> NewerTable {
+        loop {
+            self.inner.newer_heard.notified().await;
+            let newer = *self.inner.newer.lock();
+            if let Some(newer) = newer.filter(|newer| self.is_newer(newer)) {
+                return newer;
+            }
+        }
+    }
+
+    /// A daemon that may have a newer table: who said so last, or a relay.
+    pub fn any_newer(&self) -> Option<SocketAddr> {
+        let newer = *self.inner.newer.lock();
+        let mut candidates = self.others(self.relays());
+        candidates.extend(newer.filter(|newer| self.is_newer(newer)).map(|newer| newer.address));
+        candidates.choose(&mut rand::rng()).copied()
+    }
+
+    fn is_newer(&self, newer: &NewerTable) -> bool {
+        newer.version > self.inner.parts.routing.version()
+    }
+
+    /// Asks the daemon at `address` for a newer routing table.
+    pub async fn fetch_routing(&self, address: SocketAddr) {
+        self.ask(address, Wanted::Routing).await;
+    }
+
     /// Takes word of a daemon that sent a request here.
     pub fn heard_sender(&self, address: SocketAddr) {
         let mut senders = self.inner.senders.lock();
@@ -166,26 +206,18 @@
         }
     }
 
-    /// Asks peers while nobody tells of changes, and whoever is heard to know more.
+    /// Asks peers while the store doesn't answer, and checks with other relays while it does.
     pub async fn run(self, stop: CancellationToken) {
         let mut source_changes = self.inner.parts.news.subscribe();
         loop {
-            let newer = self.inner.newer_at.lock().take();
             let source = *source_changes.borrow_and_update();
-            if let Some((address, version)) = newer {
-                if source != NewsSource::Nobody {
-                    sleep(STORE_FIRST).await;
-                }
-                if version > self.inner.parts.routing.version() {
-                    self.ask(address, Wanted::Routing).await;
-                }
-            } else {
+            // A table that is on its way would be sent once more.
+            if !self.inner.parts.transfers.make_progress() {
                 self.ask_somebody(source).await;
             }
             let pause = if source == NewsSource::Nobody { ASK_INTERVAL } else { CHECK_INTERVAL };
             tokio::select! {
                 () = stop.cancelled() => return,
-                () = self.inner.heard.notified() => {}
                 () = sleep(jittered(pause)) => {}
                 changed = source_changes.changed() => if changed.is_err() { return },
             }
@@ -199,15 +231,19 @@
             // The relay does this for all whom it tells.
             NewsSource::Relay => return,
         };
-        let own_address = self.inner.parts.own_address;
-        let others: Vec<_> =
-            candidates.into_iter().filter(|address| *address != own_address).collect();
-        let chosen = others.choose(&mut rand::rng()).copied();
+        let chosen = self.others(candidates).choose(&mut rand::rng()).copied();
         if let Some(address) = chosen {
             self.ask(address, wanted).await;
         }
     }
 
+    /// `candidates` without this daemon.
+    fn others(&self, mut candidates: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let own_address = self.inner.parts.own_address;
+        candidates.retain(|address| *address != own_address);
+        candidates
+    }
+
     /// All daemons that are known.
     fn anybody(&self) -> Vec<SocketAddr> {
         let members = self.inner.parts.members.all();
@@ -284,9 +320,7 @@
     }
 
     async fn ask(&self, address: SocketAddr, wanted: Wanted) {
-        if self.inner.is_asking.swap(true, Ordering::AcqRel) {
-            return;
-        }
+        let _asking = self.inner.asking.lock().await;
         let parts = &self.inner.parts;
         parts.counters.add("peers.asked");
         let started_at = Instant::now();
@@ -298,7 +332,6 @@
                 parts.events.write(|| not_read(source, &parts.routing, started_at, cause));
             }
         }
-        self.inner.is_asking.store(false, Ordering::Release);
     }
 
     async fn news_of(&self, address: SocketAddr, wanted: Wanted) -> Result<PeerNews, PeerError> {
@@ -310,7 +343,8 @@
         };
         let asked = self.send(address, &question, Freshness::Kept);
         let answer = timeout(ANSWER_TIMEOUT, asked).await??;
-        let text = read_whole(answer.into_body(), |_| ()).await?;
+        let transfer = self.inner.parts.transfers.begin();
+        let text = read_whole(answer.into_body(), |bytes| transfer.note(bytes)).await?;
         Ok(serde_json::from_slice(&text)?)
     }
 
--- a/crates/yuccarackd/src/coordination/routed/publish.rs
+++ b/crates/yuccarackd/src/coordination/routed/publish.rs
@@ -123,7 +123,7 @@
     /// word arrives late; the new process would send it work again. With the store away nothing
     /// more can be known, and the target's own word has to do.
     async fn settle(&self) {
-        let read = timeout(SETTLE_MAX, self.store.read(LEAVING_TABLE)).await;
+        let read = timeout(SETTLE_MAX, self.store.read(LEAVING_TABLE, |_| ())).await;
         let rows = match read {
             Ok(Ok(rows)) => rows.rows,
             Ok(Err(error)) => {
--- a/crates/yuccarackd/src/coordination/routed/relay_follower.rs
+++ b/crates/yuccarackd/src/coordination/routed/relay_follower.rs
@@ -6,14 +6,10 @@
 use http_body_util::BodyExt;
 use thiserror::Error;
 use tokio::time::{Instant, error::Elapsed, sleep, sleep_until, timeout};
-use yuccarack_config::{
-    ids::{DomainName, InstanceId},
-    routing::RoutingVersion,
-};
+use yuccarack_config::ids::{DomainName, InstanceId};
 use yuccarack_policy::relays::{Standing, standing};
 
 use super::{
-    follow::Follower,
     lines::{RelayHeard, RelayLost},
     peers::Peers,
     relay_lines::LINE_INTERVAL,
@@ -23,7 +19,10 @@
         body::{BodyError, CallBody},
         peer_news::{NewsQuestion, PeerNews},
     },
-    state::routed::news_source::{Followed, NewsSource},
+    state::routed::{
+        news_source::{Followed, NewsSource},
+        transfers::Transfers,
+    },
     transport::{connection::SendError, upstream::Freshness},
 };
 
@@ -82,21 +81,15 @@
 /// Keeps this daemon told.
 pub struct RelayFollower {
     peers: Peers,
-    follower: Follower,
     instance: InstanceId,
     failure_domain: DomainName,
     shunned_until: HashMap<InstanceId, Instant>,
 }
 
 impl RelayFollower {
-    /// Keeps `instance` of `failure_domain` told, through `peers`; `follower` reads large tables.
-    pub fn new(
-        peers: Peers,
-        follower: Follower,
-        instance: InstanceId,
-        failure_domain: DomainName,
-    ) -> Self {
-        Self { peers, follower, instance, failure_domain, shunned_until: HashMap::new() }
+    /// Keeps `instance` of `failure_domain` told, through `peers`.
+    pub fn new(peers: Peers, instance: InstanceId, failure_domain: DomainName) -> Self {
+        Self { peers, instance, failure_domain, shunned_until: HashMap::new() }
     }
 
     /// Runs until it is dropped.
@@ -170,15 +163,20 @@
         let mut lines = Lines::new(timeout(FIRST_LINE_MAX, asked).await??.into_body());
         let mut silence_max = FIRST_LINE_MAX;
         loop {
-            let line = lines.next(silence_max).await?;
+            let line = lines.next(silence_max, &parts.transfers).await?;
             silence_max = SILENCE_MAX;
             if line.is_empty() {
                 continue;
             }
             let news: PeerNews = serde_json::from_slice(&line)?;
             let (known, version) = (news.known.clone(), news.routing_version);
+            let is_left_out = news.routing.is_none() && news.changes.is_none();
             self.peers.take(address, news);
-            self.read_newer(address, version).await;
+            // Fetched beside the lines, so that those which follow don't wait.
+            match is_left_out {
+                true => self.peers.heard_left_out(address, version),
+                false => self.peers.heard_version(address, version),
+            }
             // What it knows is true all the same, but there will be no more of it.
             let known = known.ok_or(RelayError::NoRelay)?;
             parts.news.heard_known(known, parts.routing.version() >= version);
@@ -191,16 +189,6 @@
             }
         }
     }
-
-    /// Reads the routing table of the store if the relay has one of a newer `version` that it left out.
-    async fn read_newer(&self, address: SocketAddr, version: RoutingVersion) {
-        if version <= self.peers.parts().routing.version() {
-            return;
-        }
-        self.follower.read_routing().await;
-        // A store that turns this daemon away told nothing; the relay is asked for the whole table.
-        self.peers.heard_version(address, version);
-    }
 }
 
 /// Lines of an answer that goes on.
@@ -215,7 +203,12 @@
     }
 
     /// The next line without its end; a long one may take as long as no pause exceeds `silence_max`.
-    async fn next(&mut self, silence_max: Duration) -> Result<Bytes, RelayError> {
+    async fn next(
+        &mut self,
+        silence_max: Duration,
+        transfers: &Transfers,
+    ) -> Result<Bytes, RelayError> {
+        let transfer = transfers.begin();
         loop {
             if let Some(end) = self.read.iter().position(|byte| *byte == b'\n') {
                 let line = self.read.split_to(end).freeze();
@@ -228,6 +221,7 @@
             let frame = timeout(silence_max, self.body.frame()).await?;
             let frame = frame.ok_or(RelayError::Ended)??;
             if let Ok(data) = frame.into_data() {
+                transfer.note(data.len());
                 self.read.extend_from_slice(&data);
             }
         }
--- a/crates/yuccarackd/src/coordination/routed/store_client.rs
+++ b/crates/yuccarackd/src/coordination/routed/store_client.rs
@@ -29,18 +29,19 @@
         Self { client, counters }
     }
 
-    /// All rows of `table` as of one moment, or as of the moments of its pages.
+    /// All rows of `table` as of one moment, or as of the moments of its pages; `on_bytes` gets the
+    /// length of each piece that arrives.
     ///
     /// # Errors
     ///
     /// [`FeedError`].
-    pub async fn read(&self, table: &str) -> Result<FeedRows, FeedError> {
+    pub async fn read(&self, table: &str, on_bytes: impl Fn(usize)) -> Result<FeedRows, FeedError> {
         let mut all = FeedRows::default();
         loop {
             self.counters.add("store.reads");
             let after = all.rows.last().map(|row| row.key.as_str());
             let question = store::read(table, after);
-            let page = self.ask(question, ANSWER_TIMEOUT).await;
+            let page = self.ask(question, ANSWER_TIMEOUT, &on_bytes).await;
             let page = page.and_then(|(status, body)| store::decode_rows(status, &body));
             let page = self.counted("store.reads_failed", page)?;
             // Changes between two pages are told again by the feed, from the first page on.
@@ -55,7 +56,8 @@
         }
     }
 
-    /// What has changed in `table` since `after`, as soon as there is something.
+    /// What has changed in `table` since `after`, as soon as there is something; `on_bytes` gets the
+    /// length of each piece that arrives.
     ///
     /// # Errors
     ///
@@ -65,11 +67,12 @@
         table: &str,
         after: Revision,
         wait: Duration,
+        on_bytes: impl Fn(usize),
     ) -> Result<FeedRows, FeedError> {
         self.counters.add("store.feeds");
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
         let question = store::changes(table, after, wait_ms);
-        let answer = self.ask(question, wait + ANSWER_TIMEOUT).await;
+        let answer = self.ask(question, wait + ANSWER_TIMEOUT, on_bytes).await;
         let rows = answer.and_then(|(status, body)| store::decode_rows(status, &body));
         self.counted("store.feeds_failed", rows)
     }
@@ -82,7 +85,7 @@
     pub async fn write(&self, write: &FeedWrite) -> Result<Revision, FeedError> {
         self.counters.add("store.writes");
         let question = store::write(write)?;
-        let answer = self.ask(question, ANSWER_TIMEOUT).await;
+        let answer = self.ask(question, ANSWER_TIMEOUT, |_| ()).await;
         let written = answer.and_then(|(status, body)| store::decode_written(status, &body));
         self.counted("store.writes_failed", written)
     }
@@ -91,8 +94,9 @@
         &self,
         question: FeedQuestion,
         answer_timeout: Duration,
+        on_bytes: impl Fn(usize),
     ) -> Result<(StatusCode, Bytes), FeedError> {
-        Ok(self.client.ask_feed(question, answer_timeout, |_| ()).await?)
+        Ok(self.client.ask_feed(question, answer_timeout, on_bytes).await?)
     }
 
     fn counted<T>(
--- a/crates/yuccarackd/src/daemon/routed/wiring.rs
+++ b/crates/yuccarackd/src/daemon/routed/wiring.rs
@@ -9,6 +9,7 @@
 use super::Listeners;
 use crate::{
     coordination::routed::{
+        catch_up::CatchUp,
         control_door::ControlDoor,
         entry::{RoutedEntry, RoutedEntryParts},
         events::EventLog,
@@ -32,6 +33,7 @@
             news_source::{News, NewsSource},
             routing_state::RoutingState,
             target::RoutedTarget,
+            transfers::Transfers,
         },
     },
     transport::{call_server::CallServer, upstream::Upstream},
@@ -83,13 +85,14 @@
     pub(super) fn start_state(&self) -> (Peers, Publisher) {
         let platform = PlatformClient::new(self.settings.current().store_address, ANSWER_TIMEOUT);
         let store = StoreClient::new(platform, self.counters.clone());
-        let news = News::new();
+        let (news, transfers) = (News::new(), Transfers::new());
         let settings = self.settings.current();
         let peers = Peers::new(PeersParts {
             own_address: settings.gate_reached_at(),
             routing: self.routing.clone(),
             members: self.members.clone(),
             news: news.clone(),
+            transfers: transfers.clone(),
             leaving: self.stops.leaving.clone(),
             upstream: self.upstream.clone(),
             counters: self.counters.clone(),
@@ -105,11 +108,13 @@
             events: self.events.clone(),
             news,
             answers: StoreAnswers::new(),
+            transfers,
         };
         self.tell_state(&follower);
         let (instance, domain) = (settings.instance.clone(), settings.failure_domain.clone());
-        let relays = RelayFollower::new(peers.clone(), follower.clone(), instance, domain);
+        let relays = RelayFollower::new(peers.clone(), instance, domain);
         self.spawn_until_stop(relays.run());
+        self.spawn_until_stop(CatchUp::new(peers.clone(), follower.clone()).run());
         self.spawn_until_stop(self.sweeper(&follower).run());
         self.tasks.rest.spawn(follower.clone().follow_routing(stop.clone()));
         self.tasks.rest.spawn(follower.follow_members(stop.clone()));
--- a/crates/yuccarackd/src/state/routed/mod.rs
+++ b/crates/yuccarackd/src/state/routed/mod.rs
@@ -8,3 +8,4 @@
 pub mod recent_changes;
 pub mod routing_state;
 pub mod target;
+pub mod transfers;
--- /dev/null
+++ b/crates/yuccarackd/src/state/routed/transfers.rs
@@ -0,0 +1,84 @@
+//! Transfers of the routing table that are under way.
+
+use std::{sync::Arc, time::Instant};
+
+use parking_lot::Mutex;
+use slotmap::{SlotMap, new_key_type};
+use yuccarack_platform::transfer::{PROGRESS_INTERVAL, PROGRESS_MIN_BYTES};
+
+new_key_type! {
+    struct TransferKey;
+}
+
+/// Transfers under way; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Transfers {
+    inner: Arc<Mutex<SlotMap<TransferKey, Progress>>>,
+}
+
+/// One transfer; it ends when this is dropped.
+#[derive(Debug)]
+pub struct Transfer {
+    transfers: Transfers,
+    key: TransferKey,
+}
+
+/// Bytes of two consecutive intervals.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    interval_started_at: Instant,
+    bytes: usize,
+    bytes_before: usize,
+}
+
+impl Transfers {
+    /// Starts without any.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes a transfer that begins.
+    pub fn begin(&self) -> Transfer {
+        let progress = Progress { interval_started_at: Instant::now(), bytes: 0, bytes_before: 0 };
+        let key = self.inner.lock().insert(progress);
+        Transfer { transfers: self.clone(), key }
+    }
+
+    /// Whether one of them makes progress: another one beside it would only take its bandwidth.
+    pub fn make_progress(&self) -> bool {
+        let now = Instant::now();
+        self.inner.lock().values_mut().any(|progress| {
+            progress.advance(now);
+            progress.bytes + progress.bytes_before >= PROGRESS_MIN_BYTES
+        })
+    }
+}
+
+impl Transfer {
+    /// Notes that `bytes` more have arrived.
+    pub fn note(&self, bytes: usize) {
+        let now = Instant::now();
+        if let Some(progress) = self.transfers.inner.lock().get_mut(self.key) {
+            progress.advance(now);
+            progress.bytes += bytes;
+        }
+    }
+}
+
+impl Drop for Transfer {
+    fn drop(&mut self) {
+        self.transfers.inner.lock().remove(self.key);
+    }
+}
+
+impl Progress {
+    fn advance(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.interval_started_at);
+        if passed < PROGRESS_INTERVAL {
+            return;
+        }
+        self.bytes_before = if passed < PROGRESS_INTERVAL * 2 { self.bytes } else { 0 };
+        self.bytes = 0;
+        self.interval_started_at = now;
+    }
+}
