A starting daemon reads its own row of the leaving table, not the table

Callers would see: requests at a target that had said that it leaves (DRAIN): its daemon restarts, reads the rows of all targets that ever left for 1.2 s at most, and takes a late heartbeat for a living target. Why it works: the range of one key costs the same whatever the table holds.

--- a/crates/yuccarackd/src/coordination/routed/publish.rs
+++ b/crates/yuccarackd/src/coordination/routed/publish.rs
@@ -40,7 +40,7 @@
 /// costs one write, and one question at each start of a daemon.
 const LEAVING_TABLE: &str = "leaving";
 
-/// Longest wait for that table at a start; a target sends its next heartbeat 1.5 s later.
+/// Longest wait for that row at a start; a target sends its next heartbeat 1.5 s later.
 const SETTLE_MAX: Duration = Duration::from_millis(1_200);
 
 wire_data! {
@@ -123,20 +123,20 @@
     /// word arrives late; the new process would send it work again. With the store away nothing
     /// more can be known, and the target's own word has to do.
     async fn settle(&self) {
-        let read = timeout(SETTLE_MAX, self.store.read(LEAVING_TABLE, |_| ())).await;
-        let rows = match read {
-            Ok(Ok(rows)) => rows.rows,
+        // The own row alone: the table grows with all instances that ever left.
+        let row = self.store.row(LEAVING_TABLE, &self.member.instance);
+        let row = match timeout(SETTLE_MAX, row).await {
+            Ok(Ok(row)) => row,
             Ok(Err(error)) => {
                 self.events.write(|| LeavingNotLookedUp { cause: error.to_string() });
-                Vec::new()
+                None
             }
             Err(_) => {
                 self.events.write(|| LeavingNotLookedUp { cause: "no answer in time".to_owned() });
-                Vec::new()
+                None
             }
         };
-        let own = rows.into_iter().find(|row| row.key == self.member.instance);
-        let row = own.and_then(|row| row.value);
+        let row = row.and_then(|row| row.value);
         let row = row.and_then(|text| self.decode(&text));
         let departed = row.map(|row| Departed { target: row.target, last_life: row.last_life });
         self.target.settle(departed);
--- a/crates/yuccarackd/src/coordination/routed/store_client.rs
+++ b/crates/yuccarackd/src/coordination/routed/store_client.rs
@@ -7,7 +7,7 @@
 use yuccarack_config::ids::Revision;
 use yuccarack_platform::{
     PlatformClient,
-    feed::{FeedError, FeedQuestion, FeedRows, FeedWrite},
+    feed::{FeedError, FeedQuestion, FeedRow, FeedRows, FeedWrite},
 };
 use yuccarack_platform_wire::store;
 
@@ -56,6 +56,19 @@
         }
     }
 
+    /// The row of `key` in `table`; none if there is none.
+    ///
+    /// # Errors
+    ///
+    /// [`FeedError`].
+    pub async fn row(&self, table: &str, key: &str) -> Result<Option<FeedRow>, FeedError> {
+        self.counters.add("store.reads");
+        let answer = self.ask(store::row_of(table, key), ANSWER_TIMEOUT, |_| ()).await;
+        let rows = answer.and_then(|(status, body)| store::decode_rows(status, &body));
+        let rows = self.counted("store.reads_failed", rows)?;
+        Ok(rows.rows.into_iter().find(|row| row.key == key))
+    }
+
     /// What has changed in `table` since `after`, as soon as there is something; `on_bytes` gets the
     /// length of each piece that arrives.
     ///
--- a/crates/yuccarackd/tests/routed/leaving.rs
+++ b/crates/yuccarackd/tests/routed/leaving.rs
@@ -93,6 +93,27 @@
     assert_eq!(reads_at_first(&deployment, "a", 20).await, 0);
 }
 
+/// Guards against a daemon that reads about all targets that ever left, and is too late for its own.
+#[tokio::test]
+async fn a_restarted_daemon_knows_that_its_target_leaves_though_many_left_before() {
+    let mut deployment = deployed("manyleft", &["board", "board"]).await;
+    for number in 0..6_000 {
+        let row = format!(r#"{{"target":"i-old{number}","last_life":{number}}}"#);
+        deployment.store.put("leaving", &format!("old{number}"), row.as_bytes());
+    }
+    deployment.instances[0].stop_beating();
+    assert_eq!(deployment.instances[0].say("draining").await, Some(StatusCode::OK));
+    let is_kept = || async { deployment.store.has_row("leaving", "n0") };
+    wait("the row", is_kept).await;
+    deployment.instances[0].kill_daemon();
+    deployment.instances[0].door.set_rate(Some(128 * 1024));
+    deployment.instances[0].start_daemon().await.expect("a daemon");
+    wait("the daemon to be ready", || deployment.instances[0].is_ready()).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    deployment.instances[0].say_again("ready").await;
+    assert_eq!(reads_at_first(&deployment, "a", 20).await, 0);
+}
+
 /// Story: a heartbeat is held up by a cut link and arrives after its sender died and another process
 /// of the same name took its place. It must neither bring back nor drain what runs now.
 #[tokio::test]
