Beside a slow transfer of a table, peers are still asked for small changes

Callers would see: an older table for as long as the slowest relay of their domain reads the whole one. Cause: CatchUp and the checks with other relays waited for any transfer that made progress, though what a peer would send is mostly a few KB. Change: a question says whether it takes small changes only (64 KiB packed) or all; beside a transfer that makes progress it is small ones. A second whole table is still never asked for meanwhile (catch_up::no_whole_table...).

--- a/crates/yuccarackd/src/coordination/routed/catch_up.rs
+++ b/crates/yuccarackd/src/coordination/routed/catch_up.rs
@@ -21,10 +21,10 @@
 /// Longest such wait.
 const RETRY_MAX: Duration = Duration::from_secs(1);
 
-/// Time between two looks at a transfer that makes progress.
-const PROGRESS_LOOK: Duration = Duration::from_millis(50);
-
 /// Fetches newer routing tables, from the store and from peers by turns.
+///
+/// Failure: a daemon reads a whole table from the store and from a peer at the same time, over one thin
+/// link, and neither ends in time.
 pub struct CatchUp {
     peers: Peers,
     follower: Follower,
@@ -68,11 +68,10 @@
         let mut address = Some(newer.address);
         let mut retry = RETRY_FIRST;
         while self.is_behind() {
-            if self.follower.transfers.make_progress() {
-                sleep(PROGRESS_LOOK).await;
-                continue;
-            }
+            // Beside a transfer that makes progress only peers are asked, for small changes.
+            let is_on_its_way = self.follower.transfers.make_progress();
             match source {
+                Source::Store if is_on_its_way => {}
                 Source::Store => self.follower.read_routing().await,
                 Source::Peer => {
                     if let Some(address) = address.take().or_else(|| self.peers.any_newer()) {
--- a/crates/yuccarackd/src/coordination/routed/peers.rs
+++ b/crates/yuccarackd/src/coordination/routed/peers.rs
@@ -27,7 +27,9 @@
     protocol::{
         body::{self, BodyError, CallBody},
         packed_changes::{PackError, PackedChanges},
-        peer_news::{DatedMember, KnownUpTo, NewsQuestion, NewsQuestionError, PeerNews},
+        peer_news::{
+            ChangesTaken, DatedMember, KnownUpTo, NewsQuestion, NewsQuestionError, PeerNews,
+        },
     },
     state::{
         counters::Counters,
@@ -198,6 +200,15 @@
         self.ask(address, Wanted::Routing).await;
     }
 
+    /// Changes of the routing table that are asked for: beside a transfer that makes progress, only
+    /// those that don't take its bandwidth.
+    fn changes_to_ask_for(&self) -> ChangesTaken {
+        match self.inner.parts.transfers.make_progress() {
+            true => ChangesTaken::Small,
+            false => ChangesTaken::All,
+        }
+    }
+
     /// Takes word of a daemon that sent a request here.
     pub fn heard_sender(&self, address: SocketAddr) {
         let mut senders = self.inner.senders.lock();
@@ -211,10 +222,7 @@
         let mut source_changes = self.inner.parts.news.subscribe();
         loop {
             let source = *source_changes.borrow_and_update();
-            // A table that is on its way would be sent once more.
-            if !self.inner.parts.transfers.make_progress() {
-                self.ask_somebody(source).await;
-            }
+            self.ask_somebody(source).await;
             let pause = if source == NewsSource::Nobody { ASK_INTERVAL } else { CHECK_INTERVAL };
             tokio::select! {
                 () = stop.cancelled() => return,
@@ -293,9 +301,11 @@
         // Before the table is looked at: a version whose table is not sent would count as sent.
         let routing_version = parts.routing.version();
         let is_newer = |version| version > question.routing_version;
-        let (routing, changes) = match question.takes_changes {
-            true => (None, self.inner.packer.changes_since(question.routing_version)),
-            false => (parts.routing.current(), None),
+        let (base, packer) = (question.routing_version, &self.inner.packer);
+        let (routing, changes) = match question.changes {
+            ChangesTaken::None => (parts.routing.current(), None),
+            ChangesTaken::Small => (None, packer.small_changes_since(base)),
+            ChangesTaken::All => (None, packer.changes_since(base)),
         };
         let routing = routing.filter(|routing| is_newer(routing.version()));
         // Who went before this daemon listed the members is not among the changes that it knows.
@@ -335,11 +345,12 @@
     }
 
     async fn news_of(&self, address: SocketAddr, wanted: Wanted) -> Result<PeerNews, PeerError> {
+        let changes = self.changes_to_ask_for();
         let question = NewsQuestion {
             routing_version: self.inner.parts.routing.version(),
             members_after: (wanted == Wanted::All).then_some(0),
             is_lasting: false,
-            takes_changes: true,
+            changes,
         };
         let asked = self.send(address, &question, Freshness::Kept);
         let answer = timeout(ANSWER_TIMEOUT, asked).await??;
--- a/crates/yuccarackd/src/coordination/routed/relay_follower.rs
+++ b/crates/yuccarackd/src/coordination/routed/relay_follower.rs
@@ -17,7 +17,7 @@
 use crate::{
     protocol::{
         body::{BodyError, CallBody},
-        peer_news::{NewsQuestion, PeerNews},
+        peer_news::{ChangesTaken, NewsQuestion, PeerNews},
     },
     state::routed::{
         news_source::{Followed, NewsSource},
@@ -157,7 +157,7 @@
             routing_version: parts.routing.version(),
             members_after: Some(parts.news.known_up_to(Followed::Members).unwrap_or(0)),
             is_lasting: true,
-            takes_changes: true,
+            changes: ChangesTaken::Small,
         };
         let asked = self.peers.send(address, &question, Freshness::New);
         let mut lines = Lines::new(timeout(FIRST_LINE_MAX, asked).await??.into_body());
--- a/crates/yuccarackd/src/coordination/routed/relay_lines.rs
+++ b/crates/yuccarackd/src/coordination/routed/relay_lines.rs
@@ -26,11 +26,6 @@
 /// change that has to be in force within 2 s. An empty line is some 90 bytes with its headers.
 pub const LINE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Most packed changes of the routing table in one line, in bytes: sent to ten daemons at once, they
-/// keep a link of 10 Mbit/s busy for half a second. A daemon that gets only the version of larger ones
-/// reads the table from the store.
-const CHANGES_MAX_BYTES: usize = 64 * 1024;
-
 /// Most routes in a whole table for a daemon that doesn't take changes; a route takes some 200 bytes.
 const WHOLE_ROUTES_MAX: usize = 100;
 
@@ -82,7 +77,6 @@
         let known = if is_leaving { None } else { self.peers.parts().news.to_relay() };
         let mut news = self.peers.news_for(&self.question, known);
         news.routing.take_if(|table| table.routes.len() > WHOLE_ROUTES_MAX);
-        news.changes.take_if(|changes| changes.body.len() > CHANGES_MAX_BYTES);
         self.has_ended = news.known.is_none();
         self.note(&news);
         match serde_json::to_vec(&news) {
--- a/crates/yuccarackd/src/coordination/routed/routing_packer.rs
+++ b/crates/yuccarackd/src/coordination/routed/routing_packer.rs
@@ -6,7 +6,14 @@
 use yuccarack_config::routing::RoutingVersion;
 
 use super::{events::EventLog, lines::NewsNotWritten};
-use crate::{protocol::packed_changes::PackedChanges, state::routed::routing_state::RoutingState};
+use crate::{
+    protocol::{packed_changes::PackedChanges, peer_news::SMALL_CHANGES_MAX_BYTES},
+    state::routed::routing_state::RoutingState,
+};
+
+/// Most routes in changes that are worth packing where only small ones are taken; a packed route takes
+/// some 20 bytes or more.
+const SMALL_ROUTES_MAX: usize = 5_000;
 
 /// Packed changes that lead to the table in force, by the version from which they start.
 pub struct RoutingPacker {
@@ -29,6 +36,17 @@
 
     /// What a daemon lacks that has the table of version `base`; none if that isn't an older one.
     pub fn changes_since(&self, base: RoutingVersion) -> Option<Arc<PackedChanges>> {
+        self.pack(base, usize::MAX)
+    }
+
+    /// The same, but none if it takes more than [`SMALL_CHANGES_MAX_BYTES`].
+    pub fn small_changes_since(&self, base: RoutingVersion) -> Option<Arc<PackedChanges>> {
+        let changes = self.pack(base, SMALL_ROUTES_MAX)?;
+        Some(changes).filter(|changes| changes.body.len() <= SMALL_CHANGES_MAX_BYTES)
+    }
+
+    /// Packs changes of up to `routes_max` routes.
+    fn pack(&self, base: RoutingVersion, routes_max: usize) -> Option<Arc<PackedChanges>> {
         let mut packed = self.packed.lock();
         let version = self.routing.version();
         if packed.version != version {
@@ -37,7 +55,7 @@
         if let Some(known) = packed.by_base.get(&base) {
             return Some(Arc::clone(known));
         }
-        let changes = self.routing.changes_since(base)?;
+        let changes = self.routing.changes_since(base).filter(|all| all.len() <= routes_max)?;
         match PackedChanges::new(&changes) {
             Ok(changes) => {
                 let changes = Arc::new(changes);
--- a/crates/yuccarackd/src/protocol/peer_news.rs
+++ b/crates/yuccarackd/src/protocol/peer_news.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr, str::FromStr};
 
-use http::HeaderMap;
+use http::{HeaderMap, HeaderValue};
 use thiserror::Error;
 use yuccarack_config::{
     ids::{DomainName, InstanceId, Revision, ServiceName},
@@ -15,9 +15,14 @@
 /// Header of a question for news; its value is a [`NewsQuestion`].
 pub const NEWS: &str = "yuccarack-news";
 
-/// Header of a question whose asker takes changes of the routing table instead of the whole.
+/// Header of a question whose asker takes changes of the routing table instead of the whole; its value
+/// says which, as in [`ChangesTaken`].
 pub const NEWS_CHANGES: &str = "yuccarack-news-changes";
 
+/// Largest packed changes that count as small, in bytes: sent to ten daemons at once, they keep a link of
+/// 10 Mbit/s busy for half a second.
+pub const SMALL_CHANGES_MAX_BYTES: usize = 64 * 1024;
+
 /// Header by which a gate tells others of requests that were running when its target died: their
 /// fingerprints in hex, with commas between.
 pub const CRASHED: &str = "yuccarack-crashed";
@@ -31,8 +36,40 @@
     pub members_after: Option<Revision>,
     /// Whether the answer goes on with each change, a line of JSON for each, until one side ends it.
     pub is_lasting: bool,
-    /// Whether the asker takes changes of the routing table instead of the whole.
-    pub takes_changes: bool,
+    /// Changes of the routing table that the asker takes.
+    pub changes: ChangesTaken,
+}
+
+/// Changes of the routing table that a daemon takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ChangesTaken {
+    /// None: it takes whole tables only.
+    #[default]
+    None,
+    /// Changes of up to [`SMALL_CHANGES_MAX_BYTES`], and nothing instead of larger ones.
+    Small,
+    /// Changes of any size; of a version that isn't known any more, all routes.
+    All,
+}
+
+impl ChangesTaken {
+    /// How the header spells it; none where the header is left out.
+    fn as_header(self) -> Option<&'static str> {
+        match self {
+            Self::None => None,
+            Self::Small => Some("small"),
+            Self::All => Some("all"),
+        }
+    }
+
+    fn from_header(value: Option<&HeaderValue>) -> Self {
+        match value.map(HeaderValue::as_bytes) {
+            Some(b"small") => Self::Small,
+            Some(b"all") => Self::All,
+            // What a later version means by another word is answered with a whole table.
+            _ => Self::None,
+        }
+    }
 }
 
 impl NewsQuestion {
@@ -43,15 +80,15 @@
     /// [`NewsQuestionError`].
     pub fn from_headers(headers: &HeaderMap) -> Option<Result<Self, NewsQuestionError>> {
         let text = headers.get(NEWS)?.to_str().map_err(|_| NewsQuestionError);
-        let takes_changes = headers.contains_key(NEWS_CHANGES);
-        Some(text.and_then(str::parse).map(|question: Self| Self { takes_changes, ..question }))
+        let changes = ChangesTaken::from_header(headers.get(NEWS_CHANGES));
+        Some(text.and_then(str::parse).map(|question: Self| Self { changes, ..question }))
     }
 
     /// Writes the question into `headers`.
     pub fn write_to(&self, headers: &mut HeaderMap) {
         forwarding::set(headers, NEWS, &self.to_string());
-        if self.takes_changes {
-            forwarding::set(headers, NEWS_CHANGES, "1");
+        if let Some(value) = self.changes.as_header() {
+            forwarding::set(headers, NEWS_CHANGES, value);
         }
     }
 }
@@ -63,7 +100,7 @@
 
 impl fmt::Display for NewsQuestion {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { routing_version, members_after, is_lasting, takes_changes: _ } = self;
+        let Self { routing_version, members_after, is_lasting, changes: _ } = self;
         match members_after {
             Some(revision) => write!(f, "{routing_version};{revision};{}", u8::from(*is_lasting)),
             None => write!(f, "{routing_version};-;{}", u8::from(*is_lasting)),
@@ -88,7 +125,10 @@
             _ => return Err(NewsQuestionError),
         };
         match fields.next() {
-            None => Ok(Self { routing_version, members_after, is_lasting, takes_changes: false }),
+            None => {
+                let changes = ChangesTaken::None;
+                Ok(Self { routing_version, members_after, is_lasting, changes })
+            }
             Some(_) => Err(NewsQuestionError),
         }
     }
@@ -132,7 +172,7 @@
         /// The table, if it is newer than the asker's and that one doesn't take changes; an answer that
         /// goes on leaves large ones out.
         pub routing: Option<RoutingTable>,
-        /// What the asker's table lacks; an answer that goes on leaves it out if it is large.
+        /// What the asker's table lacks, as far as it takes changes.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub changes: Option<PackedChanges>,
         /// The members that were asked for.
--- a/crates/yuccarackd/tests/catch_up.rs
+++ b/crates/yuccarackd/tests/catch_up.rs
@@ -1,26 +1,17 @@
 //! How a daemon gets a routing table that the usual news did not bring.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures_util::stream;
-use http::{Response, StatusCode};
-use http_body::Frame;
-use http_body_util::{BodyExt, StreamBody};
+use http::StatusCode;
+use parking_lot::Mutex;
 use slog::{Discard, Logger, o};
 use tokio::time::{sleep, timeout};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use yuccarack_config::routing::{CallerLimits, Route, RoutingTable, WeightedService};
-use yuccarack_platform::PlatformClient;
+use yuccarack_platform::{PlatformClient, transfer::PROGRESS_MIN_BYTES};
 use yuccarack_platform_standin::store::{Door, DoorMode, Store};
-use yuccarack_standins::server::{Cut, Server, listen};
+use yuccarack_standins::server::{Cut, Server, answer, listen};
 use yuccarackd::{
     coordination::routed::{
         catch_up::CatchUp,
@@ -29,7 +20,10 @@
         peers::{Peers, PeersParts},
         store_client::StoreClient,
     },
-    protocol::{packed_changes::PackedChanges, peer_news::PeerNews},
+    protocol::{
+        packed_changes::PackedChanges,
+        peer_news::{NEWS_CHANGES, PeerNews},
+    },
     state::{
         counters::Counters,
         routed::{
@@ -72,15 +66,15 @@
     }
 }
 
-/// A peer's news of a table of version 9, whole.
-fn news() -> Bytes {
+/// A peer's news of a table of version 9, with it or without.
+fn news(has_changes: bool) -> Bytes {
     let state = RoutingState::new();
     assert!(state.offer(table(9)));
     let changes = state.changes_since(0).expect("the whole table");
     let news = PeerNews {
         routing_version: 9,
         routing: None,
-        changes: Some(PackedChanges::new(&changes).expect("packed changes")),
+        changes: has_changes.then(|| PackedChanges::new(&changes).expect("packed changes")),
         members: Vec::new(),
         is_whole: false,
         known: None,
@@ -88,38 +82,45 @@
     serde_json::to_vec(&news).expect("JSON").into()
 }
 
-/// A peer that fails `failures` questions and then answers, a piece of `piece_bytes` each 20 ms.
-async fn peer(failures: usize, piece_bytes: usize) -> (Server, Arc<AtomicUsize>) {
-    let asked: Arc<AtomicUsize> = Arc::default();
-    let (for_server, news) = (Arc::clone(&asked), news());
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = listen(any).await.expect("a port");
-    let server = Server::start(listener, CONNECTIONS_MAX, move |_| {
-        let number = for_server.fetch_add(1, Ordering::Relaxed);
-        let pieces = stream::unfold(news.clone(), move |mut rest| async move {
-            if rest.is_empty() {
-                return None;
+/// A peer that records which changes it is asked for.
+struct Peer {
+    server: Server,
+    asked_for: Arc<Mutex<Vec<String>>>,
+}
+
+impl Peer {
+    /// Starts one that fails `failures` questions and answers those for all changes.
+    async fn start(failures: usize) -> Self {
+        let asked_for: Arc<Mutex<Vec<String>>> = Arc::default();
+        let for_server = Arc::clone(&asked_for);
+        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a port");
+        let server = Server::start(listener, CONNECTIONS_MAX, move |request| {
+            let header = request.headers().get(NEWS_CHANGES);
+            let asked = header.and_then(|value| value.to_str().ok()).unwrap_or("").to_owned();
+            let mut asked_for = for_server.lock();
+            asked_for.push(asked.clone());
+            let is_failing = asked_for.len() <= failures;
+            async move {
+                match asked.as_str() {
+                    _ if is_failing => Err(Cut),
+                    "all" => answer(StatusCode::OK, news(true)),
+                    _ => answer(StatusCode::OK, news(false)),
+                }
             }
-            sleep(Duration::from_millis(20)).await;
-            let piece = rest.split_to(piece_bytes.min(rest.len()));
-            Some((Ok(Frame::data(piece)), rest))
         });
-        async move {
-            if number < failures {
-                return Err(Cut);
-            }
-            let mut answer = Response::new(StreamBody::new(pieces).boxed_unsync());
-            *answer.status_mut() = StatusCode::OK;
-            Ok(answer)
-        }
-    });
-    (server.expect("a server"), asked)
+        Self { server: server.expect("a server"), asked_for }
+    }
+
+    fn asked_for(&self) -> Vec<String> {
+        self.asked_for.lock().clone()
+    }
 }
 
 /// A daemon's parts that fetch routing tables, and its way to the store.
 struct Fetching {
     routing: RoutingState,
     peers: Peers,
+    transfers: Transfers,
     door: Door,
     catch_up: CatchUp,
 }
@@ -150,10 +151,10 @@
         events,
         news,
         answers: StoreAnswers::new(),
-        transfers,
+        transfers: transfers.clone(),
     };
     let catch_up = CatchUp::new(peers.clone(), follower);
-    Fetching { routing, peers, door, catch_up }
+    Fetching { routing, peers, transfers, door, catch_up }
 }
 
 /// Guards against a daemon that waits for the next change after a fetch that failed.
@@ -161,8 +162,8 @@
 async fn a_fetch_that_fails_is_tried_again_without_further_word() {
     let daemon = fetching(NewsSource::Relay).await;
     daemon.door.set(DoorMode::Refusing);
-    let (peer, asked) = peer(2, 64 * 1024).await;
-    daemon.peers.heard_version(peer.address(), 9);
+    let peer = Peer::start(2).await;
+    daemon.peers.heard_version(peer.server.address(), 9);
     let mut versions = daemon.routing.subscribe();
     tokio::select! {
         () = daemon.catch_up.run() => {}
@@ -170,40 +171,44 @@
             fetched.expect("the table in time").expect("a version");
         }
     }
-    assert_eq!(asked.load(Ordering::Relaxed), 3);
-    peer.crash().await;
+    assert_eq!(peer.asked_for().len(), 3);
+    peer.server.crash().await;
 }
 
 /// Guards against two transfers of one table that share a thin link, so that neither ends in time.
 #[tokio::test]
-async fn no_second_transfer_starts_beside_one_that_makes_progress() {
+async fn no_whole_table_is_asked_for_beside_a_transfer_that_makes_progress() {
     let daemon = fetching(NewsSource::Relay).await;
-    let (peer, asked) = peer(0, 1_024).await;
-    daemon.peers.heard_version(peer.address(), 9);
-    let mut versions = daemon.routing.subscribe();
-    let repeats = async {
-        loop {
-            sleep(Duration::from_millis(50)).await;
-            daemon.peers.heard_left_out(peer.address(), 9);
+    let peer = Peer::start(0).await;
+    daemon.peers.heard_left_out(peer.server.address(), 9);
+    let transferring = async {
+        let transfer = daemon.transfers.begin();
+        for _ in 0..100 {
+            transfer.note(PROGRESS_MIN_BYTES);
+            sleep(Duration::from_millis(20)).await;
         }
+        let asked_for = peer.asked_for();
+        assert!(!asked_for.is_empty() && asked_for.iter().all(|asked| asked == "small"));
+        assert_eq!(daemon.door.questions(), 0);
+    };
+    let mut versions = daemon.routing.subscribe();
+    let fetching = async {
+        transferring.await;
+        timeout(IN_FORCE_MAX, versions.wait_for(|version| *version == 9)).await.is_ok()
     };
     tokio::select! {
         () = daemon.catch_up.run() => {}
-        () = repeats => {}
-        fetched = timeout(Duration::from_secs(10), versions.wait_for(|version| *version == 9)) => {
-            fetched.expect("the table").expect("a version");
-        }
+        is_fetched = fetching => assert!(is_fetched, "once the transfer has ended"),
     }
-    assert_eq!((asked.load(Ordering::Relaxed), daemon.door.questions()), (1, 0));
-    peer.crash().await;
+    peer.server.crash().await;
 }
 
 /// Guards against a fetch where a relay brings the table anyway.
 #[tokio::test]
 async fn what_the_news_bring_in_time_is_not_fetched() {
     let daemon = fetching(NewsSource::Store).await;
-    let (peer, asked) = peer(0, 64 * 1024).await;
-    daemon.peers.heard_version(peer.address(), 9);
+    let peer = Peer::start(0).await;
+    daemon.peers.heard_version(peer.server.address(), 9);
     let news = async {
         sleep(Duration::from_millis(200)).await;
         assert!(daemon.routing.offer(table(9)));
@@ -213,6 +218,6 @@
         () = daemon.catch_up.run() => {}
         () = news => {}
     }
-    assert_eq!((asked.load(Ordering::Relaxed), daemon.door.questions()), (0, 0));
-    peer.crash().await;
+    assert_eq!((peer.asked_for().len(), daemon.door.questions()), (0, 0));
+    peer.server.crash().await;
 }
--- a/crates/yuccarackd/tests/relay_lines.rs
+++ b/crates/yuccarackd/tests/relay_lines.rs
@@ -14,7 +14,7 @@
     },
     protocol::{
         body::CallBody,
-        peer_news::{NewsQuestion, PeerNews, RoutedMember},
+        peer_news::{ChangesTaken, NewsQuestion, PeerNews, RoutedMember},
     },
     state::{
         counters::Counters,
@@ -58,7 +58,7 @@
             routing_version: 0,
             members_after: Some(1),
             is_lasting: true,
-            takes_changes: true,
+            changes: ChangesTaken::Small,
         };
         let lines = RelayLines::new(peers, question).into_body();
         Self { members, news, leaving, lines }
--- a/crates/yuccarackd/tests/routed/large_tables.rs
+++ b/crates/yuccarackd/tests/routed/large_tables.rs
@@ -159,3 +159,15 @@
     table.extend(routes("b", 300));
     assert_eq!(late_after_write(&mut deployment, &table).await, Vec::<usize>::new());
 }
+
+/// Guards against a relay that waits for its slow transfer of the table while peers have the change.
+#[tokio::test]
+async fn a_slow_transfer_from_the_store_does_not_hold_a_change_up() {
+    let mut table = routes("a", ROUTES);
+    let mut deployment = settled("large-slow-relay", &table).await;
+    let relay = (0..SERVICES.len()).find(|number| !notified().contains(number));
+    let door = &deployment.instances[relay.expect("a relay")].door;
+    door.set_rate(Some(THIN_BYTES_PER_S));
+    table.extend(routes("b", 300));
+    assert_eq!(late_after_write(&mut deployment, &table).await, Vec::<usize>::new());
+}
