Rows and objects of the platform are read as long as they make progress

Callers would see: a daemon that never gets a rules file which takes longer; an operator whose command fails. Evidence: rows_and_objects_may_take_longer... failed before (Unknown after 200 ms), passes. Writes keep their time in total: what they send is bounded.

--- a/crates/yuccarack_platform/src/client.rs
+++ b/crates/yuccarack_platform/src/client.rs
@@ -94,14 +94,15 @@
         from_json(&answer).map(Some)
     }
 
-    /// Reads all rows whose keys start with `prefix`, in order of their keys.
+    /// Reads all rows whose keys start with `prefix`, in order of their keys, however long it takes while
+    /// it makes progress.
     ///
     /// # Errors
     ///
     /// Any [`PlatformError`] but a conflict.
     pub async fn rows(&self, prefix: &str) -> Result<Rows, PlatformError> {
         let path = format!("/table/rows?prefix={}", escaped(prefix));
-        let (status, answer) = self.ask(Method::GET, &path, Bytes::new()).await?;
+        let (status, answer) = self.fetch(&path).await?;
         accepted(status)?;
         from_json(&answer)
     }
@@ -117,14 +118,14 @@
         accepted(status)
     }
 
-    /// Reads the object of `name`.
+    /// Reads the object of `name`, however long it takes while it makes progress.
     ///
     /// # Errors
     ///
     /// Any [`PlatformError`] but a conflict.
     pub async fn object(&self, name: &str) -> Result<Option<Bytes>, PlatformError> {
         let path = format!("/objects/{}", escaped(name));
-        let (status, answer) = self.ask(Method::GET, &path, Bytes::new()).await?;
+        let (status, answer) = self.fetch(&path).await?;
         if status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -146,6 +147,22 @@
     ) -> Result<(StatusCode, Bytes), PlatformError> {
         let FeedQuestion { method, path, body } = question;
         let request = self.request(method, &path, body)?;
+        self.transfer(request, answer_timeout, on_bytes).await
+    }
+
+    /// Reads what may be of any size.
+    async fn fetch(&self, path: &str) -> Result<(StatusCode, Bytes), PlatformError> {
+        let request = self.request(Method::GET, path, Bytes::new())?;
+        self.transfer(request, self.answer_timeout, |_| ()).await
+    }
+
+    /// Waits `answer_timeout` for the head of the answer, and for its body as long as it makes progress.
+    async fn transfer(
+        &self,
+        request: Request<Full<Bytes>>,
+        answer_timeout: Duration,
+        on_bytes: impl FnMut(usize),
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
         let answer = timeout(answer_timeout, self.send(request)).await;
         let answer = answer.map_err(|_| PlatformError::Unknown)??;
         let status = answer.status();
--- a/crates/yuccarack_platform/tests/transfer.rs
+++ b/crates/yuccarack_platform/tests/transfer.rs
@@ -4,12 +4,15 @@
 
 use bytes::Bytes;
 use futures_util::stream;
+use http::Response;
 use http_body::{Body, Frame};
 use http_body_util::{BodyExt, StreamBody};
 use tokio::time::{Instant, sleep};
-use yuccarack_platform::transfer::{
-    PROGRESS_INTERVAL, PROGRESS_MIN_BYTES, TransferError, read_whole,
+use yuccarack_platform::{
+    PlatformClient,
+    transfer::{PROGRESS_INTERVAL, PROGRESS_MIN_BYTES, TransferError, read_whole},
 };
+use yuccarack_standins::server::{Cut, Server, listen};
 
 /// The connection broke.
 #[derive(Debug, PartialEq)]
@@ -73,3 +76,34 @@
     let read = read_whole(StreamBody::new(stream::iter(pieces)), |_| ()).await;
     assert!(matches!(read, Err(TransferError::Cut(Broken))), "{read:?}");
 }
+
+/// A platform that sends the head of each answer at once and its body in pieces 20 ms apart.
+async fn slow_platform() -> Server {
+    let listener = listen(([127, 0, 0, 1], 0).into()).await.expect("a port");
+    let server = Server::start(listener, 4, |request| async move {
+        let text = match request.uri().path() {
+            "/table/rows" => {
+                format!("{}{}", " ".repeat(64 * 1024), r#"{"rows":[],"revision":7}"#)
+            }
+            _ => "x".repeat(64 * 1024),
+        };
+        let pieces = stream::unfold(Bytes::from(text), |mut rest| async move {
+            sleep(Duration::from_millis(20)).await;
+            let piece = rest.split_to(rest.len().min(2 * 1024));
+            (!piece.is_empty()).then_some((Ok::<_, Cut>(Frame::data(piece)), rest))
+        });
+        Ok(Response::new(StreamBody::new(pieces).boxed_unsync()))
+    });
+    server.expect("a server")
+}
+
+/// Guards against rows and objects that can't be read since they take longer than one answer's time.
+#[tokio::test]
+async fn rows_and_objects_may_take_longer_than_the_time_for_an_answer() {
+    let server = slow_platform().await;
+    let client = PlatformClient::new(server.address(), Duration::from_millis(200));
+    assert_eq!(client.rows("x/").await.expect("rows").rows.len(), 0);
+    let object = client.object("rules").await.expect("an answer").expect("an object");
+    assert_eq!(object.len(), 64 * 1024);
+    server.crash().await;
+}
