A daemon without the store asks peers for the members that changed, not for all

A daemon that the store doesn't answer asked a peer for all members twice a second: at 2,500 members some 375 KB each time by their sizes, over half of a link of 10 Mbit/s. It asks from the revision on up to which it knows them; a peer that can't tell who went since then still answers with all, as it does to relays' followers. Test: a_daemon_without_the_store_asks_only... failed before (the question named revision 0).

--- a/crates/yuccarackd/src/coordination/routed/peers.rs
+++ b/crates/yuccarackd/src/coordination/routed/peers.rs
@@ -35,7 +35,7 @@
         counters::Counters,
         routed::{
             members::Members,
-            news_source::{News, NewsSource},
+            news_source::{Followed, News, NewsSource},
             routing_state::RoutingState,
             transfers::Transfers,
         },
@@ -346,9 +346,11 @@
 
     async fn news_of(&self, address: SocketAddr, wanted: Wanted) -> Result<PeerNews, PeerError> {
         let changes = self.changes_to_ask_for();
+        // Without the store the same question is asked twice a second; all members would fill thin links.
+        let members_known = self.inner.parts.news.known_up_to(Followed::Members).unwrap_or(0);
         let question = NewsQuestion {
             routing_version: self.inner.parts.routing.version(),
-            members_after: (wanted == Wanted::All).then_some(0),
+            members_after: (wanted == Wanted::All).then_some(members_known),
             is_lasting: false,
             changes,
         };
--- a/crates/yuccarackd/tests/catch_up.rs
+++ b/crates/yuccarackd/tests/catch_up.rs
@@ -22,13 +22,13 @@
     },
     protocol::{
         packed_changes::PackedChanges,
-        peer_news::{NEWS_CHANGES, PeerNews},
+        peer_news::{NEWS, NEWS_CHANGES, PeerNews},
     },
     state::{
         counters::Counters,
         routed::{
             members::Members,
-            news_source::{News, NewsSource},
+            news_source::{Followed, News, NewsSource},
             routing_state::RoutingState,
             transfers::Transfers,
         },
@@ -86,17 +86,23 @@
 struct Peer {
     server: Server,
     asked_for: Arc<Mutex<Vec<String>>>,
+    questions: Arc<Mutex<Vec<String>>>,
 }
 
 impl Peer {
     /// Starts one that fails `failures` questions and answers those for all changes.
     async fn start(failures: usize) -> Self {
         let asked_for: Arc<Mutex<Vec<String>>> = Arc::default();
-        let for_server = Arc::clone(&asked_for);
+        let questions: Arc<Mutex<Vec<String>>> = Arc::default();
+        let (for_server, noted) = (Arc::clone(&asked_for), Arc::clone(&questions));
         let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a port");
         let server = Server::start(listener, CONNECTIONS_MAX, move |request| {
-            let header = request.headers().get(NEWS_CHANGES);
-            let asked = header.and_then(|value| value.to_str().ok()).unwrap_or("").to_owned();
+            let header = |name| {
+                let value = request.headers().get(name);
+                value.and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
+            };
+            let asked = header(NEWS_CHANGES);
+            noted.lock().push(header(NEWS));
             let mut asked_for = for_server.lock();
             asked_for.push(asked.clone());
             let is_failing = asked_for.len() <= failures;
@@ -108,7 +114,11 @@
                 }
             }
         });
-        Self { server: server.expect("a server"), asked_for }
+        Self { server: server.expect("a server"), asked_for, questions }
+    }
+
+    fn questions(&self) -> Vec<String> {
+        self.questions.lock().clone()
     }
 
     fn asked_for(&self) -> Vec<String> {
@@ -121,6 +131,7 @@
     routing: RoutingState,
     peers: Peers,
     transfers: Transfers,
+    news: News,
     door: Door,
     catch_up: CatchUp,
 }
@@ -149,12 +160,12 @@
         members,
         counters,
         events,
-        news,
+        news: news.clone(),
         answers: StoreAnswers::new(),
         transfers: transfers.clone(),
     };
     let catch_up = CatchUp::new(peers.clone(), follower);
-    Fetching { routing, peers, transfers, door, catch_up }
+    Fetching { routing, peers, transfers, news, door, catch_up }
 }
 
 /// Guards against a daemon that waits for the next change after a fetch that failed.
@@ -221,3 +232,19 @@
     assert_eq!((peer.asked_for().len(), daemon.door.questions()), (0, 0));
     peer.server.crash().await;
 }
+
+/// Guards against a list of all members twice a second while the store is unavailable.
+#[tokio::test]
+async fn a_daemon_without_the_store_asks_only_for_members_that_changed() {
+    let daemon = fetching(NewsSource::Nobody).await;
+    daemon.news.set_known(Followed::Members, Some(7));
+    let peer = Peer::start(0).await;
+    daemon.peers.heard_sender(peer.server.address());
+    tokio::select! {
+        () = daemon.peers.run(CancellationToken::new()) => {}
+        () = sleep(Duration::from_millis(300)) => {}
+    }
+    let questions = peer.questions();
+    assert!(!questions.is_empty() && questions.iter().all(|question| question == "0;7;0"));
+    peer.server.crash().await;
+}
