--- a/crates/yuccarackd/src/coordination/routed/catch_up.rs
+++ b/crates/yuccarackd/src/coordination/routed/catch_up.rs
@@ -15,7 +15,7 @@
 /// usually bring it within 100 ms, and it costs no bytes between failure domains then.
 const NEWS_FIRST: Duration = Duration::from_millis(600);
 
-/// First wait after a try that did not bring the table; it doubles once each source was tried.
+/// First wait after a try that did not bring the table; it doubles after a try of each source.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 
 /// Longest such wait.
--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -14,4 +14,7 @@
 mod soak;
 mod store;
 mod support;
+#[expect(dead_code, reason = "these tests write documents, not tables")]
+#[path = "../support/tables.rs"]
+mod tables;
 mod uploads;
--- /dev/null
+++ b/crates/yuccarackd/tests/support/tables.rs
@@ -0,0 +1,40 @@
+//! Routing tables of any size for tests.
+
+use yuccarack_config::routing::{
+    CallerLimits, Route, RoutedService, RoutingTable, WeightedService,
+};
+
+/// A prefix unlike those of other numbers: prefixes of real tables have no order that compresses well.
+pub fn scattered(number: u64) -> String {
+    format!("/{:x}/", (number + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15))
+}
+
+fn route(number: u64) -> Route {
+    Route {
+        name: format!("r-{number}"),
+        host: "reads.example".to_owned(),
+        path_prefix: scattered(number),
+        is_repeatable: true,
+        is_upload: false,
+        split: vec![WeightedService { service: "board".to_owned(), weight: 1 }],
+        wait_max_ms: 900,
+        on_time_ms: 300,
+        targets_max: 2,
+        rank: 1,
+    }
+}
+
+/// A table of `count` routes.
+pub fn table(version: u64, count: u64) -> RoutingTable {
+    let service = RoutedService {
+        name: "board".to_owned(),
+        load_path: "/health".to_owned(),
+        connections_max: 240,
+    };
+    RoutingTable {
+        version,
+        routes: (0..count).map(route).collect(),
+        services: vec![service],
+        caller_limits: CallerLimits::default(),
+    }
+}
