--- a/crates/yuccarackd/src/coordination/routed/peers/newer.rs
+++ b/crates/yuccarackd/src/coordination/routed/peers/newer.rs
@@ -73,7 +73,7 @@
         self.inner.newer.wait().await
     }
 
-    /// A daemon that may have a newer table: a relay, or whose notice came last.
+    /// A daemon that may have a newer table: a relay, or the one whose notice came last.
     pub fn any_newer(&self) -> Option<SocketAddr> {
         let mut candidates = self.others(self.relays());
         candidates.extend(self.inner.newer.last().map(|newer| newer.address));
