--- a/crates/yuccarack_config/src/routed_settings.rs
+++ b/crates/yuccarack_config/src/routed_settings.rs
@@ -44,6 +44,10 @@
         pub metrics_address: SocketAddr,
         /// Address of the table service.
         pub store_address: SocketAddr,
+        /// Whether the whole fleet starts for the first time: no rows stand yet, and all daemons come
+        /// within a second of each other.
+        #[serde(default)]
+        pub is_first_start: bool,
         /// File with a routing table in this project's own format; unset, the store has it.
         #[serde(default)]
         pub routing_file: Option<PathBuf>,
--- a/crates/yuccarack_config/src/routed_settings/check.rs
+++ b/crates/yuccarack_config/src/routed_settings/check.rs
@@ -20,6 +20,7 @@
     Field::required("readiness_address", Kind::OwnAddress),
     Field::required("metrics_address", Kind::OwnAddress),
     Field::required("store_address", Kind::PeerAddress),
+    Field::defaulted("is_first_start", Kind::Flag),
     Field::defaulted("routing_file", Kind::PathPrefix),
     Field::defaulted("log", LOG),
     Field::defaulted("log_lines_percent", Kind::number(0, 1_000)),
--- a/crates/yuccarack_platform/src/feed.rs
+++ b/crates/yuccarack_platform/src/feed.rs
@@ -49,6 +49,8 @@
     pub seen_at: Revision,
     /// What it is to hold; none takes it away.
     pub value: Option<Bytes>,
+    /// Another table in which no row of this key may stand.
+    pub unless_in: Option<&'static str>,
 }
 
 /// Why an answer of the store gives no result.
@@ -57,10 +59,10 @@
     /// The changes that were asked for are no longer kept; the table has to be read whole.
     #[error("the store has dropped the history that was asked for")]
     HistoryLost,
-    /// The row isn't the one that was seen; nothing was written.
-    #[error("the row stands at revision {stands_at}")]
+    /// The row isn't the one that was seen, or one stands where none may; nothing was written.
+    #[error("a row stands at revision {stands_at}")]
     Conflict {
-        /// Revision at which the row stands; 0 for none.
+        /// Revision at which that row stands; 0 for none.
         stands_at: Revision,
     },
     /// The store answered with another status; nothing was done.
--- a/crates/yuccarackd/src/coordination/routed/follow.rs
+++ b/crates/yuccarackd/src/coordination/routed/follow.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 use yuccarack_config::routing::RoutingVersion;
 use yuccarack_platform::feed::{FeedError, FeedRow};
@@ -88,6 +88,8 @@
     pub answers: StoreAnswers,
     /// Transfers of the routing table.
     pub transfers: Transfers,
+    /// When the members are read for the first time.
+    pub first_read_at: Instant,
 }
 
 /// When the store answered last; clones share it.
@@ -126,9 +128,30 @@
 
     /// Follows the members until `stop`.
     pub async fn follow_members(self, stop: CancellationToken) {
+        let first_read = async {
+            self.read_members().await;
+            // When all start at once, the others are still writing their rows.
+            sleep(MEMBERS_PAUSE).await;
+        };
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = first_read => {}
+        }
         self.follow(Followed::Members, stop).await;
     }
 
+    /// Reads the members for the first time. Whether the store is asked after that depends on them.
+    async fn read_members(&self) {
+        sleep_until(self.first_read_at).await;
+        let mut retry = RETRY_FIRST;
+        while let Err(error) = self.step(Followed::Members, FEED_WAIT).await {
+            self.failed(Followed::Members, &error);
+            sleep(jittered(retry)).await;
+            retry = (retry * 2).min(self.retry_max());
+        }
+        self.served(Followed::Members);
+    }
+
     /// Reads the operators' document once.
     pub async fn read_routing(&self) {
         let started_at = Instant::now();
@@ -209,7 +232,6 @@
                 self.members.set_read();
             }
             self.news.set_known(what, Some(all.revision));
-            // When all start at once, the others are still writing their rows.
             return Ok(what == Followed::Members);
         };
         let changes = self.store.changes(table(what), after, wait, on_bytes).await?;
--- a/crates/yuccarackd/src/coordination/routed/publish.rs
+++ b/crates/yuccarackd/src/coordination/routed/publish.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::Rng;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use yuccarack_config::{
     heartbeat::{TargetId, TargetLife},
-    ids::Revision,
+    ids::{Revision, ServiceName},
     wire_data,
 };
 use yuccarack_platform::feed::{FeedError, FeedWrite};
@@ -22,7 +23,7 @@
     store_client::StoreClient,
 };
 use crate::{
-    coordination::jitter::jittered,
+    coordination::jitter::{generator, jittered},
     protocol::peer_news::RoutedMember,
     state::routed::{
         members::Members,
@@ -43,6 +44,10 @@
 /// Longest wait for that row at a start; a target sends its next heartbeat 1.5 s later.
 const SETTLE_MAX: Duration = Duration::from_millis(1_200);
 
+/// Time over which the first rows of a fleet are spread; one part of the store takes some 150
+/// transactions a second and refuses those that would wait for more than a second.
+const FIRST_WRITE_SPREAD: Duration = Duration::from_secs(1);
+
 wire_data! {
     /// A target that said that it leaves.
     struct LeavingRow {
@@ -66,6 +71,8 @@
     pub members: Members,
     /// Log lines.
     pub events: EventLog,
+    /// Service of the target by the settings, if the whole fleet starts for the first time.
+    pub first_service: Option<ServiceName>,
 }
 
 impl Publisher {
@@ -77,7 +84,7 @@
         let (mut changes, mut row_changes) = (self.target.subscribe(), self.members.subscribe());
         tokio::select! {
             () = stop.cancelled() => return,
-            () = self.settle() => {}
+            () = self.start() => {}
         }
         tokio::select! {
             () = stop.cancelled() => return,
@@ -117,6 +124,45 @@
         }
     }
 
+    /// Settles what an earlier process of this daemon was told.
+    async fn start(&mut self) {
+        if let Some(service) = self.first_service.take()
+            && self.create(service).await
+        {
+            self.target.settle(None);
+            return;
+        }
+        self.settle().await;
+    }
+
+    /// Writes the first row of this instance, if no target of it ever left; false if it is not written.
+    ///
+    /// The row and the proof that there was no earlier process take one question in place of two, which
+    /// all daemons of a new fleet ask in the same second.
+    async fn create(&mut self, service: ServiceName) -> bool {
+        sleep(FIRST_WRITE_SPREAD.mul_f64(generator().random())).await;
+        let member = RoutedMember { service: Some(service), ..self.member.clone() };
+        let write = self.row_write(&member, 0, Some(LEAVING_TABLE));
+        let written = async { self.store.write(&write?).await };
+        match timeout(SETTLE_MAX, written).await {
+            Ok(Ok(revision)) => {
+                let service = member.service.clone();
+                self.events.write(|| RowWritten { service, revision });
+                self.members.merge(&self.member.instance, revision, Some(member));
+                true
+            }
+            Ok(Err(error)) => {
+                self.events.write(|| RowNotWritten { seen_at: 0, cause: error.to_string() });
+                false
+            }
+            Err(_) => {
+                let cause = "no answer in time".to_owned();
+                self.events.write(|| RowNotWritten { seen_at: 0, cause });
+                false
+            }
+        }
+    }
+
     /// Reads what an earlier process of this daemon was told of the target.
     ///
     /// Failure: a target says that it leaves, its daemon restarts, and a heartbeat from before that
@@ -173,6 +219,7 @@
                 key: self.member.instance.clone(),
                 seen_at,
                 value: value.clone(),
+                unless_in: None,
             };
             match self.store.write(&write).await {
                 Ok(revision) => {
@@ -212,6 +259,7 @@
             key: self.member.instance.clone(),
             seen_at,
             value: None,
+            unless_in: None,
         };
         match self.store.write(&write).await {
             Ok(revision) => self.events.write(|| RowTakenAway { revision }),
@@ -245,14 +293,24 @@
     }
 
     async fn write_once(&self, seen_at: Revision) -> Result<Revision, FeedError> {
+        let write = self.row_write(&self.member, seen_at, None)?;
+        self.store.write(&write).await
+    }
+
+    fn row_write(
+        &self,
+        member: &RoutedMember,
+        seen_at: Revision,
+        unless_in: Option<&'static str>,
+    ) -> Result<FeedWrite, FeedError> {
         let malformed = |error: serde_json::Error| FeedError::Malformed(error.to_string());
-        let value = serde_json::to_vec(&self.member).map_err(malformed)?;
-        let write = FeedWrite {
+        let value = serde_json::to_vec(member).map_err(malformed)?;
+        Ok(FeedWrite {
             table: MEMBERS_TABLE,
-            key: self.member.instance.clone(),
+            key: member.instance.clone(),
             seen_at,
             value: Some(value.into()),
-        };
-        self.store.write(&write).await
+            unless_in,
+        })
     }
 }
--- a/crates/yuccarackd/src/coordination/routed/relay_follower.rs
+++ b/crates/yuccarackd/src/coordination/routed/relay_follower.rs
@@ -5,7 +5,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::BodyExt;
 use thiserror::Error;
-use tokio::time::{Instant, error::Elapsed, sleep, sleep_until, timeout};
+use tokio::time::{Instant, error::Elapsed, sleep, sleep_until, timeout, timeout_at};
 use yuccarack_config::ids::{DomainName, InstanceId};
 use yuccarack_policy::relays::{Standing, standing};
 
@@ -26,10 +26,6 @@
     transport::{connection::SendError, upstream::Freshness},
 };
 
-/// Time for which a daemon that is new to the table asks the store itself: when all start at once
-/// their rows come within 3 s, and before that each takes other daemons for relays.
-const SETTLING: Duration = Duration::from_secs(3);
-
 /// Longest time without a line: two empty ones are missing, and a starved processor had 100 ms.
 const SILENCE_MAX: Duration =
     LINE_INTERVAL.saturating_mul(2).saturating_add(Duration::from_millis(100));
@@ -38,9 +34,14 @@
 /// again, so that a change is in force in time though the relay died with it.
 const FIRST_LINE_MAX: Duration = Duration::from_millis(400);
 
-/// The same for one that is known from before, as after the loss of all power: relays read the
-/// tables first, too.
-const SETTLING_KNOWN: Duration = Duration::from_secs(1);
+/// The same for a daemon that has just started: its relay may start at the same time.
+const FIRST_LINE_MAX_AT_START: Duration = Duration::from_secs(1);
+
+/// Time after which a daemon that has started and knows no routes asks the store as well as its relays.
+const RELAYS_ALONE_MAX: Duration = Duration::from_millis(400);
+
+/// Time between two tries of relays that can't be reached in that time.
+const RETRY_AT_START: Duration = Duration::from_millis(50);
 
 /// Time for which a relay that was lost isn't asked again; a restart takes some 3 s.
 const SHUN: Duration = Duration::from_secs(3);
@@ -84,20 +85,22 @@
     instance: InstanceId,
     failure_domain: DomainName,
     shunned_until: HashMap<InstanceId, Instant>,
+    /// Until when a daemon without routes asks relays only.
+    relays_alone_until: Instant,
 }
 
 impl RelayFollower {
     /// Keeps `instance` of `failure_domain` told, through `peers`.
     pub fn new(peers: Peers, instance: InstanceId, failure_domain: DomainName) -> Self {
-        Self { peers, instance, failure_domain, shunned_until: HashMap::new() }
+        let relays_alone_until = Instant::now();
+        Self { peers, instance, failure_domain, shunned_until: HashMap::new(), relays_alone_until }
     }
 
     /// Runs until it is dropped.
     pub async fn run(mut self) {
         let members = self.peers.parts().members.clone();
         members.wait_read().await;
-        let is_known = members.row(&self.instance).1.is_some();
-        sleep(if is_known { SETTLING_KNOWN } else { SETTLING }).await;
+        self.relays_alone_until = Instant::now() + RELAYS_ALONE_MAX;
         let mut changes = members.subscribe();
         loop {
             changes.borrow_and_update();
@@ -110,6 +113,11 @@
             };
             match self.pick(&relays) {
                 Ok((relay, address)) => self.listen(relay, address).await,
+                // After a loss of power its relays may come back a moment later.
+                Err(_) if self.waits_for_relays() => {
+                    self.shunned_until.clear();
+                    sleep(RETRY_AT_START).await;
+                }
                 Err(again_at) => {
                     self.peers.parts().news.set_asks_store(true);
                     tokio::select! {
@@ -121,6 +129,11 @@
         }
     }
 
+    /// Whether this daemon has just started and asks relays only.
+    fn waits_for_relays(&self) -> bool {
+        self.peers.parts().routing.version() == 0 && Instant::now() < self.relays_alone_until
+    }
+
     fn standing(&self) -> Standing {
         let members = self.peers.parts().members.all();
         let near = members.iter().filter(|member| member.failure_domain == self.failure_domain);
@@ -142,7 +155,7 @@
 
     /// Takes news of `relay` until it fails, or until this daemon is to ask the store itself.
     async fn listen(&mut self, relay: InstanceId, address: SocketAddr) {
-        let Err(error) = self.take_lines(&relay, address).await else { return };
+        let Err(error) = self.take_lines_or_ask(&relay, address).await else { return };
         let parts = self.peers.parts();
         parts.counters.add("relay.lost");
         let cause = error.to_string();
@@ -151,6 +164,19 @@
         self.shunned_until.insert(relay, Instant::now() + shun);
     }
 
+    /// Takes lines; a daemon that has neither routes nor a line after a while asks the store besides.
+    async fn take_lines_or_ask(&self, relay: &str, address: SocketAddr) -> Result<(), RelayError> {
+        let parts = self.peers.parts();
+        let mut lines = std::pin::pin!(self.take_lines(relay, address));
+        if let Ok(result) = timeout_at(self.relays_alone_until, &mut lines).await {
+            return result;
+        }
+        if parts.routing.version() == 0 && parts.news.source() != NewsSource::Relay {
+            parts.news.set_asks_store(true);
+        }
+        lines.await
+    }
+
     async fn take_lines(&self, relay: &str, address: SocketAddr) -> Result<(), RelayError> {
         let parts = self.peers.parts();
         let question = NewsQuestion {
@@ -159,9 +185,13 @@
             is_lasting: true,
             changes: ChangesTaken::Small,
         };
+        let first_line_max = match parts.routing.version() {
+            0 => FIRST_LINE_MAX_AT_START,
+            _ => FIRST_LINE_MAX,
+        };
         let asked = self.peers.send(address, &question, Freshness::New);
-        let mut lines = Lines::new(timeout(FIRST_LINE_MAX, asked).await??.into_body());
-        let mut silence_max = FIRST_LINE_MAX;
+        let mut lines = Lines::new(timeout(first_line_max, asked).await??.into_body());
+        let mut silence_max = first_line_max;
         loop {
             let line = lines.next(silence_max, &parts.transfers).await?;
             silence_max = SILENCE_MAX;
--- a/crates/yuccarackd/src/coordination/routed/relay_lines.rs
+++ b/crates/yuccarackd/src/coordination/routed/relay_lines.rs
@@ -33,6 +33,15 @@
 /// which a change has to be in force.
 const GATHERING: Duration = Duration::from_millis(10);
 
+/// Longest wait of a relay that has just started until it knows the tables, before its first line.
+///
+/// Failure: all daemons lose power and return together. Those that are told ask a relay before it has
+/// read the tables, take it for none, and all of them ask the store.
+const START_MAX: Duration = Duration::from_millis(300);
+
+/// The same for a daemon that knows no routes, and so waits for longer.
+const START_MAX_WITHOUT_ROUTES: Duration = Duration::from_millis(800);
+
 /// Lines for one daemon.
 pub struct RelayLines {
     peers: Peers,
@@ -70,7 +79,9 @@
         if self.has_ended {
             return None;
         }
-        if !std::mem::take(&mut self.is_first) && !self.changes().await {
+        if std::mem::take(&mut self.is_first) {
+            self.wait_started().await;
+        } else if !self.changes().await {
             return Some(Bytes::from_static(b"\n"));
         }
         let is_leaving = self.peers.parts().leaving.is_cancelled();
@@ -92,6 +103,26 @@
         }
     }
 
+    /// Waits until the tables are known here, for a time that the asker waits too.
+    async fn wait_started(&mut self) {
+        let start_max = match self.question.routing_version {
+            0 => START_MAX_WITHOUT_ROUTES,
+            _ => START_MAX,
+        };
+        let (news, leaving) = (self.peers.parts().news.clone(), self.peers.parts().leaving.clone());
+        let started = async {
+            while news.is_starting() {
+                tokio::select! {
+                    () = leaving.cancelled() => return,
+                    _ = self.known.changed() => {}
+                    _ = self.source.changed() => {}
+                }
+            }
+        };
+        // The first line says what is known by then.
+        let _ = timeout(start_max, started).await;
+    }
+
     /// Waits for something to tell; false if there is nothing within [`LINE_INTERVAL`].
     async fn changes(&mut self) -> bool {
         let leaving = self.peers.parts().leaving.clone();
--- a/crates/yuccarackd/src/daemon/routed/wiring.rs
+++ b/crates/yuccarackd/src/daemon/routed/wiring.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::Instant};
 use yuccarack_config::heartbeat::TargetPhase;
 use yuccarack_platform::PlatformClient;
 
@@ -42,6 +42,9 @@
 /// Largest request head that is read; operators accept 16 kB.
 const HEAD_MAX_BYTES: usize = 32 * 1024;
 
+/// Time after which the rows of a fleet that starts for the first time stand.
+const ROWS_WRITTEN: Duration = Duration::from_millis(2_500);
+
 /// What the parts share while they are put together.
 pub(super) struct Wiring {
     pub(super) settings: LiveSettings,
@@ -86,6 +89,8 @@
         let platform = PlatformClient::new(self.settings.current().store_address, ANSWER_TIMEOUT);
         let store = StoreClient::new(platform, self.counters.clone());
         let (news, transfers) = (News::new(), Transfers::new());
+        // Who is told by a relay is known with the members.
+        news.set_asks_store(false);
         let settings = self.settings.current();
         let peers = Peers::new(PeersParts {
             own_address: settings.gate_reached_at(),
@@ -109,6 +114,10 @@
             news,
             answers: StoreAnswers::new(),
             transfers,
+            first_read_at: match settings.is_first_start {
+                true => Instant::now() + ROWS_WRITTEN,
+                false => Instant::now(),
+            },
         };
         self.tell_state(&follower);
         let (instance, domain) = (settings.instance.clone(), settings.failure_domain.clone());
@@ -202,6 +211,7 @@
             target: self.target.clone(),
             members: self.members.clone(),
             events: self.events.clone(),
+            first_service: settings.is_first_start.then(|| settings.service.clone()),
         }
     }
 
--- a/crates/yuccarackd/src/state/routed/live_settings.rs
+++ b/crates/yuccarackd/src/state/routed/live_settings.rs
@@ -48,6 +48,7 @@
             service: read.service.clone(),
             routing_file: read.routing_file.clone(),
             bounds: read.bounds.clone(),
+            is_first_start: read.is_first_start,
             ..(*old).clone()
         };
         let is_whole = new == read;
--- a/crates/yuccarackd/src/state/routed/news_source.rs
+++ b/crates/yuccarackd/src/state/routed/news_source.rs
@@ -146,6 +146,13 @@
         self.inner.known.subscribe()
     }
 
+    /// Whether the tables are not known yet, so that it isn't decided either who tells of them.
+    pub fn is_starting(&self) -> bool {
+        let known = *self.inner.known.borrow();
+        let is_unknown = known.routing.is_none() || known.members.is_none();
+        is_unknown && self.source() != NewsSource::Relay
+    }
+
     /// What this daemon may tell others as heard of the store; none unless the store answers it.
     ///
     /// Failure: two daemons tell each other what each has of the other, and neither hears the store.
--- a/crates/yuccarackd/tests/catch_up.rs
+++ b/crates/yuccarackd/tests/catch_up.rs
@@ -154,6 +154,7 @@
         news: news.clone(),
         answers: StoreAnswers::new(),
         transfers: transfers.clone(),
+        first_read_at: tokio::time::Instant::now(),
     };
     let catch_up = CatchUp::new(peers.clone(), follower);
     Fetching { routing, peers, transfers, news, door, catch_up }
--- a/crates/yuccarackd/tests/routed/relays.rs
+++ b/crates/yuccarackd/tests/routed/relays.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use futures_util::future::join_all;
 use http::{Method, StatusCode};
 use yuccarack_platform_standin::{
     caller::{Call, ask},
@@ -12,7 +13,7 @@
 use yuccarack_standins::client::{Asker, Question};
 
 use crate::{
-    support::{READS, deployed},
+    support::{READS, board_routes, deployed, program},
     tables::scattered,
 };
 
@@ -51,6 +52,12 @@
     deployment
 }
 
+/// Whether the daemon of `number` has been told by a relay since it started.
+fn is_told(deployment: &Deployment, number: usize) -> bool {
+    let log = std::fs::read_to_string(deployment.instances[number].log()).unwrap_or_default();
+    log.contains("\"relay_heard\"")
+}
+
 fn moved() -> Vec<RouteSpec> {
     vec![RouteSpec::reads(READS, "/new/", "board")]
 }
@@ -228,11 +235,16 @@
 
 /// Members that a daemon knows, by its metrics.
 async fn members_known(deployment: &Deployment, number: usize) -> Option<usize> {
+    gauge(deployment, number, "yuccarack_members").await
+}
+
+/// A gauge of a daemon.
+async fn gauge(deployment: &Deployment, number: usize, name: &str) -> Option<usize> {
     let address = deployment.instances[number].address("metrics_address");
     let question = Question::new(Method::GET, "/metrics");
     let told = Asker::new(Duration::from_secs(1)).ask(address, question).await.ok()?;
     let text = String::from_utf8_lossy(&told.body).into_owned();
-    let line = text.lines().find(|line| line.starts_with("yuccarack_members "))?;
+    let line = text.lines().find(|line| line.split(' ').next() == Some(name))?;
     line.split(' ').nth(1)?.parse().ok()
 }
 
@@ -259,3 +271,62 @@
     let known = || members_known(&deployment, number);
     wait("the end of the member", || async { known().await == Some(with_it - 1) }).await;
 }
+
+/// Guards against a fleet that floods the store at its first start: a notified daemon writes its row and
+/// reads the members, and relays tell it the rest.
+#[tokio::test]
+async fn a_notified_daemon_asks_the_store_twice_at_the_first_start_of_the_fleet() {
+    let starting = Deployment::start_first(program(), "first-start", &SERVICES).await;
+    let mut deployment = starting.expect("a deployment");
+    deployment.apply(&board_routes()).await;
+    for number in told().into_keys() {
+        wait("a relay", || async { is_told(&deployment, number) }).await;
+        let questions = deployment.instances[number].door.questions();
+        assert_eq!(questions, 2, "questions of n{number}");
+    }
+}
+
+/// Guards against a flood of questions when all daemons return after a loss of power: one that is notified
+/// reads the members and whether its target had left, and a relay tells it the routes.
+#[tokio::test]
+async fn a_notified_daemon_asks_the_store_twice_at_a_restart() {
+    let mut deployment = settled("relays-restart").await;
+    for instance in &mut deployment.instances {
+        instance.kill_daemon();
+    }
+    let before: Vec<u64> =
+        deployment.instances.iter().map(|instance| instance.door.questions()).collect();
+    let starting = deployment.instances.iter_mut().map(|instance| instance.start_daemon());
+    for started in join_all(starting).await {
+        started.expect("a daemon");
+    }
+    for number in told().into_keys() {
+        wait("a relay", || async { is_told(&deployment, number) }).await;
+        wait("routes", || deployment.instances[number].is_ready()).await;
+        let questions = deployment.instances[number].door.questions() - before[number];
+        assert_eq!(questions, 2, "questions of n{number}");
+    }
+}
+
+/// Guards against a first start that takes a target for new which had said that it leaves.
+#[tokio::test]
+async fn a_leave_is_known_though_settings_speak_of_a_first_start() {
+    let starting = Deployment::start_first(program(), "first-leave", &["board"; 2]).await;
+    let mut deployment = starting.expect("a deployment");
+    deployment.apply(&board_routes()).await;
+    let instance = &mut deployment.instances[0];
+    assert_eq!(instance.leave().await, Some(StatusCode::OK));
+    wait("the leave in the store", || async { deployment.store.has_row("leaving", "n0") }).await;
+    let instance = &mut deployment.instances[0];
+    instance.kill_daemon();
+    instance.start_daemon().await.expect("a daemon");
+    let is_settled = || async {
+        let log = std::fs::read_to_string(deployment.instances[0].log()).unwrap_or_default();
+        log.contains("\"row_not_written\"")
+    };
+    wait("the refused row", is_settled).await;
+    wait("routes", || deployment.instances[0].is_ready()).await;
+    deployment.instances[0].say_again("ready").await;
+    let metric = gauge(&deployment, 0, "yuccarack_target_ready").await;
+    assert_eq!(metric, Some(0), "a target that leaves takes no work");
+}
