Notified daemons look at a store that is away in turn, instead of asking it all at once

What callers saw: nothing; each call to the store is paid for.

Cause: a daemon whose relays are not served took their place, whatever their number.

Change: while its relays answer and none of them is served, a notified daemon asks peers as before and the store only in its turn, two questions a second for a whole failure domain and one each 2 s at the most. When the store answers one, that daemon follows it until a relay is served. Relays that aren't served are asked each 1 to 4 s instead of each second. Lost relays, and daemons without routes, are as before.

--- a/crates/yuccarack_policy/src/relays.rs
+++ b/crates/yuccarack_policy/src/relays.rs
@@ -1,5 +1,7 @@
 //! Which daemons of a failure domain ask the store for news, and which are told by those.
 
+use std::time::Duration;
+
 use xxhash_rust::xxh3::xxh3_64;
 use yuccarack_config::ids::InstanceId;
 
@@ -10,6 +12,13 @@
 /// TCP/IP included, so ten of them stay within the 2 KB a second that a daemon may spend on control.
 const TOLD_MAX: usize = 10;
 
+/// Questions a second of all notified daemons of a failure domain together, by which they find out that
+/// the store serves one of them though it serves none of their relays.
+const LOOKS_PER_S: f64 = 2.0;
+
+/// Shortest time between two such questions of one daemon.
+const LOOK_INTERVAL_MIN: Duration = Duration::from_secs(2);
+
 /// How a daemon gets its news.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -47,3 +56,13 @@
     ranked.truncate(RELAYS_MIN.max(ranked.len().div_ceil(TOLD_MAX + 1)));
     ranked.into_iter().map(|(_, member)| member).collect()
 }
+
+/// Time between two questions of a notified daemon to the store, while its relays answer and the store
+/// serves none of them; `size` daemons are in the failure domain.
+///
+/// Load: the store is away for eight seconds, and each of 245 daemons asks it for two tables again and
+/// again. Relays ask anyway, and hear of each other; the others need only find out now and then whether
+/// the store refuses the relays alone, so their questions together don't grow with their number.
+pub fn store_look_interval(size: usize) -> Duration {
+    LOOK_INTERVAL_MIN.max(Duration::from_secs(1).mul_f64(size as f64 / LOOKS_PER_S))
+}
--- a/crates/yuccarack_policy/tests/relays.rs
+++ b/crates/yuccarack_policy/tests/relays.rs
@@ -1,8 +1,8 @@
 //! Which daemons ask the store, at today's sizes and at 104 daemons in a failure domain.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
-use yuccarack_policy::relays::{Standing, standing};
+use yuccarack_policy::relays::{Standing, standing, store_look_interval};
 
 fn domain(size: usize) -> Vec<String> {
     (0..size).map(|number| format!("sidecar-sapporo-{number}")).collect()
@@ -70,3 +70,16 @@
     }
     assert_eq!(standing("alone", []), Standing::Asks);
 }
+
+/// Guards against questions to a store that is away which grow with the fleet.
+#[test]
+fn looks_at_a_store_that_is_away_do_not_grow_with_the_domain() {
+    let questions = |size: usize| {
+        Duration::from_secs(8).div_duration_f64(store_look_interval(size)) * size as f64
+    };
+    assert!(questions(4) <= 16.0, "{}", questions(4));
+    for size in [12, 39, 104, 500] {
+        assert!(questions(size) <= 16.5, "{} of {size} daemons", questions(size));
+    }
+    assert_eq!(store_look_interval(2), Duration::from_secs(2));
+}
--- a/crates/yuccarackd/src/coordination/routed/relay_follower.rs
+++ b/crates/yuccarackd/src/coordination/routed/relay_follower.rs
@@ -7,14 +7,17 @@
 use thiserror::Error;
 use tokio::time::{Instant, error::Elapsed, sleep, sleep_until, timeout, timeout_at};
 use yuccarack_config::ids::{DomainName, InstanceId};
-use yuccarack_policy::relays::{Standing, standing};
+use yuccarack_policy::relays::{Standing, standing, store_look_interval};
 
 use super::{
+    follow::MEMBERS_TABLE,
     lines::{RelayHeard, RelayLost},
     peers::Peers,
     relay_lines::LINE_INTERVAL,
+    store_client::StoreClient,
 };
 use crate::{
+    coordination::jitter::jittered,
     protocol::{
         body::{BodyError, CallBody},
         peer_news::{ChangesTaken, NewsQuestion, PeerNews},
@@ -47,9 +50,12 @@
 const SHUN: Duration = Duration::from_secs(3);
 
 /// The same for one that says that it is no relay: views of the members differ for as long while many
-/// start, and a store that was away answers again.
+/// start, and a store that was away answers again. The longer no relay is served, the longer it is.
 const SHUN_NO_RELAY: Duration = Duration::from_secs(1);
 
+/// Longest such time; peers are asked for changes meanwhile.
+const SHUN_NO_RELAY_MAX: Duration = Duration::from_secs(4);
+
 /// Longest line that is taken: a routing table of 2,500 routes takes some 1 MB.
 const LINE_MAX_BYTES: usize = 16 * 1024 * 1024;
 
@@ -79,21 +85,61 @@
     NoRelay,
 }
 
+/// A relay that isn't asked for a while.
+#[derive(Clone, Copy, Debug)]
+struct Shunned {
+    until: Instant,
+    /// Whether it answered, and the store doesn't serve it.
+    is_unserved: bool,
+}
+
+/// A time in which the store serves no relay.
+#[derive(Clone, Copy, Debug)]
+struct Unserved {
+    since: Instant,
+    /// When this daemon asks the store next whether it serves this one.
+    look_at: Instant,
+}
+
+/// Why no relay can be asked.
+#[derive(Clone, Copy, Debug)]
+struct NoneToAsk {
+    /// When the first one can be asked again.
+    again_at: Instant,
+    /// Whether all of them answered, and the store serves none of them.
+    are_unserved: bool,
+}
+
 /// Keeps this daemon told.
 pub struct RelayFollower {
     peers: Peers,
     instance: InstanceId,
     failure_domain: DomainName,
-    shunned_until: HashMap<InstanceId, Instant>,
+    shunned: HashMap<InstanceId, Shunned>,
+    /// Set while all relays are there and the store serves none of them.
+    unserved: Option<Unserved>,
+    store: StoreClient,
     /// Until when a daemon without routes asks relays only.
     relays_alone_until: Instant,
 }
 
 impl RelayFollower {
-    /// Keeps `instance` of `failure_domain` told, through `peers`.
-    pub fn new(peers: Peers, instance: InstanceId, failure_domain: DomainName) -> Self {
-        let relays_alone_until = Instant::now();
-        Self { peers, instance, failure_domain, shunned_until: HashMap::new(), relays_alone_until }
+    /// Keeps `instance` of `failure_domain` told, through `peers`; `store` is asked where no relay is served.
+    pub fn new(
+        peers: Peers,
+        store: StoreClient,
+        instance: InstanceId,
+        failure_domain: DomainName,
+    ) -> Self {
+        Self {
+            peers,
+            instance,
+            failure_domain,
+            shunned: HashMap::new(),
+            unserved: None,
+            store,
+            relays_alone_until: Instant::now(),
+        }
     }
 
     /// Runs until it is dropped.
@@ -115,13 +161,13 @@
                 Ok((relay, address)) => self.listen(relay, address).await,
                 // After a loss of power its relays may come back a moment later.
                 Err(_) if self.waits_for_relays() => {
-                    self.shunned_until.clear();
+                    self.shunned.clear();
                     sleep(RETRY_AT_START).await;
                 }
-                Err(again_at) => {
-                    self.peers.parts().news.set_asks_store(true);
+                Err(none) => {
+                    let wake_at = self.ask_without_relay(none).await;
                     tokio::select! {
-                        () = sleep_until(again_at) => {}
+                        () = sleep_until(wake_at) => {}
                         changed = changes.changed() => if changed.is_err() { return },
                     }
                 }
@@ -140,17 +186,54 @@
         standing(&self.instance, near.map(|member| member.instance.as_str()))
     }
 
-    /// The first of `relays` that isn't shunned, or when the first of them can be asked again.
-    fn pick(&mut self, relays: &[InstanceId]) -> Result<(InstanceId, SocketAddr), Instant> {
+    /// Has the store asked in place of relays, in its turn while those are there; returns when to go on.
+    async fn ask_without_relay(&mut self, none: NoneToAsk) -> Instant {
+        let news = self.peers.parts().news.clone();
+        let is_served = news.asks_store() && news.source() == NewsSource::Store;
+        let has_routes = self.peers.parts().routing.version() > 0;
+        if is_served || !none.are_unserved || !has_routes {
+            news.set_asks_store(true);
+            return none.again_at;
+        }
+        news.set_asks_store(false);
+        news.set_source(NewsSource::Nobody);
+        let interval = store_look_interval(self.domain_size());
+        let now = Instant::now();
+        let first = || Unserved { since: now, look_at: now + interval.mul_f64(rand::random()) };
+        let unserved = self.unserved.get_or_insert_with(first);
+        if unserved.look_at > now {
+            return unserved.look_at.min(none.again_at);
+        }
+        unserved.look_at = now + jittered(interval);
+        if self.store.row(MEMBERS_TABLE, &self.instance).await.is_ok() {
+            // The others find out by asking all that they know.
+            news.set_asks_store(true);
+        }
+        none.again_at
+    }
+
+    fn domain_size(&self) -> usize {
+        let members = self.peers.parts().members.all();
+        members.iter().filter(|member| member.failure_domain == self.failure_domain).count()
+    }
+
+    /// The first of `relays` that isn't shunned.
+    fn pick(&mut self, relays: &[InstanceId]) -> Result<(InstanceId, SocketAddr), NoneToAsk> {
         let now = Instant::now();
-        self.shunned_until.retain(|_, until| *until > now);
         let members = &self.peers.parts().members;
-        for relay in relays.iter().filter(|relay| !self.shunned_until.contains_key(*relay)) {
+        let is_free = |relay: &&InstanceId| {
+            self.shunned.get(*relay).is_none_or(|shunned| shunned.until <= now)
+        };
+        for relay in relays.iter().filter(is_free) {
             if let (_, Some(member)) = members.row(relay) {
                 return Ok((relay.clone(), member.gate_address));
             }
         }
-        Err(self.shunned_until.values().min().copied().unwrap_or(now + SHUN))
+        let shunned = relays.iter().filter_map(|relay| self.shunned.get(relay));
+        let again_at = shunned.clone().map(|shunned| shunned.until).min().unwrap_or(now + SHUN);
+        let are_unserved =
+            shunned.clone().count() > 0 && shunned.clone().all(|one| one.is_unserved);
+        Err(NoneToAsk { again_at, are_unserved })
     }
 
     /// Takes news of `relay` until it fails, or until this daemon is to ask the store itself.
@@ -160,8 +243,17 @@
         parts.counters.add("relay.lost");
         let cause = error.to_string();
         parts.events.write(|| RelayLost { relay: relay.clone(), cause });
-        let shun = if matches!(error, RelayError::NoRelay) { SHUN_NO_RELAY } else { SHUN };
-        self.shunned_until.insert(relay, Instant::now() + shun);
+        if parts.news.source() == NewsSource::Relay {
+            self.unserved = None;
+        }
+        let is_unserved = matches!(error, RelayError::NoRelay);
+        let unserved_for =
+            self.unserved.map_or(Duration::ZERO, |unserved| unserved.since.elapsed());
+        let shun = match is_unserved {
+            true => unserved_for.clamp(SHUN_NO_RELAY, SHUN_NO_RELAY_MAX),
+            false => SHUN,
+        };
+        self.shunned.insert(relay, Shunned { until: Instant::now() + shun, is_unserved });
     }
 
     /// Takes lines; a daemon that has neither routes nor a line after a while asks the store besides.
--- a/crates/yuccarackd/src/daemon/routed/wiring.rs
+++ b/crates/yuccarackd/src/daemon/routed/wiring.rs
@@ -121,7 +121,7 @@
         };
         self.tell_state(&follower);
         let (instance, domain) = (settings.instance.clone(), settings.failure_domain.clone());
-        let relays = RelayFollower::new(peers.clone(), instance, domain);
+        let relays = RelayFollower::new(peers.clone(), store.clone(), instance, domain);
         self.spawn_until_stop(relays.run());
         self.spawn_until_stop(CatchUp::new(peers.clone(), follower.clone()).run());
         self.spawn_until_stop(self.sweeper(&follower).run());
--- a/crates/yuccarackd/tests/routed/relays.rs
+++ b/crates/yuccarackd/tests/routed/relays.rs
@@ -23,6 +23,15 @@
 /// Time within which operators want a change in force.
 const IN_FORCE_MAX: Duration = Duration::from_secs(2);
 
+/// An outage of the store.
+const OUTAGE: Duration = Duration::from_secs(8);
+
+/// Questions in it by each daemon that is told: one each 2 s at this size, and one at its begin.
+const QUESTIONS_IN_OUTAGE_MAX: u64 = 6;
+
+/// The same while the store refuses the relays alone, for which operators allow 5 s more.
+const UNSERVED_IN_FORCE_MAX: Duration = Duration::from_secs(7);
+
 /// Who is told, and by whom, by the numbers of the instances; the first one by preference.
 fn told() -> HashMap<usize, Vec<usize>> {
     let names: Vec<String> = (0..SERVICES.len()).map(|number| format!("n{number}")).collect();
@@ -308,6 +317,41 @@
     }
 }
 
+/// Guards against a fleet that floods a store which is away: relays go on asking, and those that they
+/// notify look at it now and then.
+#[tokio::test]
+async fn notified_daemons_rarely_ask_a_store_that_is_away() {
+    let deployment = settled("relays-outage").await;
+    let told: Vec<usize> = told().into_keys().collect();
+    let questions = || -> u64 {
+        told.iter().map(|number| deployment.instances[*number].door.questions()).sum()
+    };
+    let before = questions();
+    deployment.instances.iter().for_each(|instance| instance.door.set(DoorMode::Refusing));
+    tokio::time::sleep(OUTAGE).await;
+    let asked = questions() - before;
+    let most = told.len() as u64 * QUESTIONS_IN_OUTAGE_MAX;
+    assert!(asked <= most, "{asked} questions of {} daemons", told.len());
+    for number in told {
+        deployment.instances[number].door.set(DoorMode::Open);
+    }
+}
+
+/// Guards against a change that nobody hears of because the store refuses just the relays.
+#[tokio::test]
+async fn a_change_is_in_force_though_the_store_refuses_all_relays() {
+    let mut deployment = settled("relays-refused").await;
+    let told = told();
+    for relay in told.values().flatten() {
+        deployment.instances[*relay].door.set(DoorMode::Refusing);
+    }
+    deployment.write(&moved());
+    tokio::time::sleep(UNSERVED_IN_FORCE_MAX).await;
+    for number in 0..SERVICES.len() {
+        assert!(knows(&deployment, number, "/new/1").await, "n{number} goes by old routes");
+    }
+}
+
 /// Guards against a first start that takes a target for new which had said that it leaves.
 #[tokio::test]
 async fn a_leave_is_known_though_settings_speak_of_a_first_start() {
