The row of a lost instance whose address another one has is passed over and ended

Cause: instances are lost without a word and their addresses go to instances of another service. The rows of the lost ones stand for ten minutes, and then for good: the look that ends such rows finds a listener.

Change: of several rows with one gate address only the latest counts, and the daemon at that address ends the others; one whose own row is the older writes it anew.

--- a/crates/yuccarackd/src/coordination/routed/publish.rs
+++ b/crates/yuccarackd/src/coordination/routed/publish.rs
@@ -8,7 +8,7 @@
 use tokio_util::sync::CancellationToken;
 use yuccarack_config::{
     heartbeat::{TargetId, TargetLife},
-    ids::{Revision, ServiceName},
+    ids::{InstanceId, Revision, ServiceName},
     wire_data,
 };
 use yuccarack_platform::feed::{FeedError, FeedWrite};
@@ -17,8 +17,8 @@
     events::EventLog,
     follow::MEMBERS_TABLE,
     lines::{
-        LeavingKept, LeavingNotKept, LeavingNotLookedUp, RowNotTakenAway, RowNotWritten,
-        RowTakenAway, RowWritten,
+        LeavingKept, LeavingNotKept, LeavingNotLookedUp, MemberEnded, MemberNotEnded,
+        RowNotTakenAway, RowNotWritten, RowTakenAway, RowWritten,
     },
     store_client::StoreClient,
 };
@@ -98,12 +98,19 @@
             if let Some(target) = target {
                 self.member.service = Some(target.service.clone());
                 let (seen_at, stands) = self.members.row(&self.member.instance);
-                if stands.is_none_or(|stands| *stands != self.member) {
+                let others =
+                    self.members.others_at(self.member.gate_address, &self.member.instance);
+                let is_latest = others.iter().all(|(_, revision)| *revision < seen_at);
+                if !is_latest || stands.is_none_or(|stands| *stands != self.member) {
                     tokio::select! {
                         () = stop.cancelled() => return,
                         () = self.write(seen_at) => {}
                     }
                 }
+                tokio::select! {
+                    () = stop.cancelled() => return,
+                    () = self.end_others(others) => {}
+                }
             }
             let departed = self.target.departed();
             // A target that stays after all, the same process, takes its word back.
@@ -242,6 +249,30 @@
         }
     }
 
+    /// Takes away the rows of instances that had the address of this one before.
+    async fn end_others(&self, others: Vec<(InstanceId, Revision)>) {
+        for (member, seen_at) in others {
+            let write = FeedWrite {
+                table: MEMBERS_TABLE,
+                key: member.clone(),
+                seen_at,
+                value: None,
+                unless_in: None,
+            };
+            match self.store.write(&write).await {
+                Ok(revision) => {
+                    self.members.merge(&member, revision, None);
+                    self.events.write(|| MemberEnded { member, revision });
+                }
+                // All that know this instance's row pass over the other one; the next change ends it.
+                Err(error) => {
+                    let cause = error.to_string();
+                    self.events.write(|| MemberNotEnded { member, cause });
+                }
+            }
+        }
+    }
+
     /// Takes the row away if the target has left for good, so that nobody looks for it any more.
     ///
     /// Failure: the instance is taken out of service, its row stands, and each other daemon loses a
--- a/crates/yuccarackd/src/state/routed/members.rs
+++ b/crates/yuccarackd/src/state/routed/members.rs
@@ -1,6 +1,6 @@
 //! All instances and what they serve.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use parking_lot::RwLock;
 use tokio::sync::watch;
@@ -16,12 +16,23 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    known: RwLock<HashMap<InstanceId, Known>>,
+    table: RwLock<Table>,
     generation: watch::Sender<u64>,
     /// Whether the whole table has been read once.
     is_read: watch::Sender<bool>,
 }
 
+/// The rows, and who is at each gate's address.
+#[derive(Debug, Default)]
+struct Table {
+    known: HashMap<InstanceId, Known>,
+    /// The latest one of the instances whose rows name an address.
+    ///
+    /// Failure: an instance is lost, another one of a different service gets its address, and the row of
+    /// the lost one stands. All that is sent by that row is refused by the other one's gate.
+    at_address: HashMap<SocketAddr, InstanceId>,
+}
+
 /// What is known of an instance, and the revision that says so.
 #[derive(Clone, Debug)]
 struct Known {
@@ -42,32 +53,32 @@
 
     /// Takes a row in unless a newer one is known; none means that the row has gone.
     pub fn merge(&self, instance: &str, revision: Revision, member: Option<RoutedMember>) -> bool {
-        let mut known = self.inner.known.write();
-        if known.get(instance).is_some_and(|known| known.revision >= revision) {
+        let mut table = self.inner.table.write();
+        if table.known.get(instance).is_some_and(|known| known.revision >= revision) {
             return false;
         }
-        let member = member.map(Arc::new);
-        known.insert(instance.to_owned(), Known { revision, member });
-        drop(known);
+        table.set(instance, Known { revision, member: member.map(Arc::new) });
+        drop(table);
         self.inner.generation.send_modify(|generation| *generation += 1);
         true
     }
 
     /// Drops whoever isn't among `listed` of a whole reading of the table at `revision`.
     pub fn drop_unlisted(&self, revision: Revision, listed: &[InstanceId]) {
-        let mut known = self.inner.known.write();
+        let mut table = self.inner.table.write();
         let is_gone = |instance: &InstanceId, known: &Known| {
             known.member.is_some() && known.revision <= revision && !listed.contains(instance)
         };
-        let gone: Vec<InstanceId> = known
+        let gone: Vec<InstanceId> = table
+            .known
             .iter()
             .filter(|(instance, known)| is_gone(instance, known))
             .map(|(instance, _)| instance.clone())
             .collect();
         for instance in &gone {
-            known.insert(instance.clone(), Known { revision, member: None });
+            table.set(instance, Known { revision, member: None });
         }
-        drop(known);
+        drop(table);
         if !gone.is_empty() {
             self.inner.generation.send_modify(|generation| *generation += 1);
         }
@@ -86,8 +97,8 @@
 
     /// The row of `instance`, with its revision; 0 without one.
     pub fn row(&self, instance: &str) -> (Revision, Option<Arc<RoutedMember>>) {
-        let known = self.inner.known.read();
-        match known.get(instance) {
+        let table = self.inner.table.read();
+        match table.known.get(instance) {
             Some(Known { revision, member: Some(member) }) => (*revision, Some(member.clone())),
             _ => (0, None),
         }
@@ -99,14 +110,25 @@
         self.all().into_iter().filter(serves).collect()
     }
 
-    /// All that are there.
+    /// All that are there, without those whose address another one has got since.
     pub fn all(&self) -> Vec<Arc<RoutedMember>> {
-        self.inner.known.read().values().filter_map(|known| known.member.clone()).collect()
+        self.inner.table.read().present().cloned().collect()
     }
 
     /// How many are there.
     pub fn count(&self) -> usize {
-        self.inner.known.read().values().filter(|known| known.member.is_some()).count()
+        self.inner.table.read().present().count()
+    }
+
+    /// Instances other than `own` whose rows name the address of its gate, and the revisions of those.
+    pub fn others_at(&self, address: SocketAddr, own: &str) -> Vec<(InstanceId, Revision)> {
+        let table = self.inner.table.read();
+        let is_there = |known: &Known| {
+            known.member.as_ref().is_some_and(|member| member.gate_address == address)
+        };
+        let others = table.known.iter().filter(|(instance, _)| *instance != own);
+        let there = others.filter(|(_, known)| is_there(known));
+        there.map(|(instance, known)| (instance.clone(), known.revision)).collect()
     }
 
     /// How many of them say what they serve.
@@ -116,8 +138,8 @@
 
     /// All rows that changed after `revision`, as another daemon is told.
     pub fn changed_after(&self, revision: Revision) -> Vec<DatedMember> {
-        let known = self.inner.known.read();
-        let changed = known.iter().filter(|(_, known)| known.revision > revision);
+        let table = self.inner.table.read();
+        let changed = table.known.iter().filter(|(_, known)| known.revision > revision);
         let dated = changed.map(|(instance, known)| DatedMember {
             instance: instance.clone(),
             revision: known.revision,
@@ -131,3 +153,40 @@
         self.inner.generation.subscribe()
     }
 }
+
+impl Table {
+    fn set(&mut self, instance: &str, known: Known) {
+        let new_address = known.member.as_ref().map(|member| member.gate_address);
+        let revision = known.revision;
+        let old = self.known.insert(instance.to_owned(), known);
+        let old_address = old.and_then(|old| old.member).map(|member| member.gate_address);
+        if let Some(address) = old_address.filter(|address| Some(*address) != new_address)
+            && self.at_address.get(&address).is_some_and(|there| there == instance)
+        {
+            self.find_latest_at(address);
+        }
+        let Some(address) = new_address else { return };
+        let there = self.at_address.get(&address).and_then(|there| self.known.get(there));
+        if there.is_none_or(|there| there.revision <= revision) {
+            self.at_address.insert(address, instance.to_owned());
+        }
+    }
+
+    fn find_latest_at(&mut self, address: SocketAddr) {
+        let is_there = |known: &Known| {
+            known.member.as_ref().is_some_and(|member| member.gate_address == address)
+        };
+        let there = self.known.iter().filter(|(_, known)| is_there(known));
+        match there.max_by_key(|(_, known)| known.revision) {
+            Some((instance, _)) => self.at_address.insert(address, instance.clone()),
+            None => self.at_address.remove(&address),
+        };
+    }
+
+    fn present(&self) -> impl Iterator<Item = &Arc<RoutedMember>> {
+        let members = self.known.values().filter_map(|known| known.member.as_ref());
+        members.filter(|member| {
+            self.at_address.get(&member.gate_address).is_none_or(|there| *there == member.instance)
+        })
+    }
+}
--- a/crates/yuccarackd/tests/routed/relays.rs
+++ b/crates/yuccarackd/tests/routed/relays.rs
@@ -242,6 +242,19 @@
     deployment.instances[4].daemon.as_ref().expect("a daemon").wake();
 }
 
+/// Guards against the row of a lost instance that stands for good because another one has its address.
+#[tokio::test]
+async fn the_row_of_an_instance_whose_address_another_one_has_goes() {
+    let deployment = deployed("address-reused", &["board"; 3]).await;
+    let address = deployment.instances[1].address("gate_address");
+    let lost = serde_json::json!({
+        "instance": "lost", "failure_domain": "a", "gate_address": address, "service": "board",
+    });
+    deployment.store.put("members", "lost", lost.to_string().as_bytes());
+    wait("the end of the row", || async { !deployment.store.has_row("members", "lost") }).await;
+    assert!(deployment.store.has_row("members", "n1"), "the row of the one that is there");
+}
+
 /// Members that a daemon knows, by its metrics.
 async fn members_known(deployment: &Deployment, number: usize) -> Option<usize> {
     gauge(deployment, number, "yuccarack_members").await
