The slowness of a target that has just started is counted once

What callers saw: after a loss of all power, and at targets that join, requests that could be on time are refused as too late, or kept from waiting, for three seconds.

Change: while a target is cold, work takes as long as its told pace says, and at least twice the usual time.

Test: the_pace_that_a_cold_target_tells_is_not_counted_twice fails before; a_cold_target_counts_as_slow_before_it_tells holds before and after.

--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -300,10 +300,12 @@
         self.at_pace(now, time)
     }
 
+    /// Time that `work` takes that starts now. The pace that a target tells after its start counts that
+    /// it is slow then.
     fn at_pace(&self, now: Instant, work: Duration) -> Duration {
         let time = self.pace.run_time(now, work);
         match self.cold_until {
-            Some(until) if until > now => time.mul_f64(COLD_SLOWNESS),
+            Some(until) if until > now => time.max(work.mul_f64(COLD_SLOWNESS)),
             _ => time,
         }
     }
--- a/crates/yuccarack_policy/tests/work_queue.rs
+++ b/crates/yuccarack_policy/tests/work_queue.rs
@@ -56,6 +56,29 @@
     assert_eq!(refused.reason, RefusedReason::Full);
 }
 
+/// Guards against requests that are refused after a loss of all power because the slowness of targets that
+/// have just started is counted twice.
+#[test]
+fn the_pace_that_a_cold_target_tells_is_not_counted_twice() {
+    let now = Instant::now();
+    let (mut queue, _) = filled(now);
+    queue.set_cold_until(now + ms(3_000));
+    queue.pace_reported(now, 2.0);
+    let urgent = Work { on_time_by: now + ms(350), give_up_by: now + ms(400), ..work(now, READ) };
+    assert!(matches!(queue.offer(now, urgent), Offered::Wait(_)));
+}
+
+/// Guards against requests that a cold target can't answer in time, before it has told its pace.
+#[test]
+fn a_cold_target_counts_as_slow_before_it_tells_its_pace() {
+    let now = Instant::now();
+    let (mut queue, _) = filled(now);
+    queue.set_cold_until(now + ms(3_000));
+    let urgent = Work { on_time_by: now + ms(150), give_up_by: now + ms(200), ..work(now, READ) };
+    let Offered::Refused(refused) = queue.offer(now, urgent) else { panic!("let in") };
+    assert_eq!(refused.reason, RefusedReason::CannotEndInTime);
+}
+
 /// Story: a target's neighbours slow it fourfold for a third of a second. A request that could go
 /// elsewhere is sent on; the last one asked takes it all the same.
 #[test]
