A new queue takes a third of the objective for the time of a kind that it doesn't know

What callers saw: late answers in the first second after a loss of power, a release or a start.

Cause: a gate that has answered nothing yet takes each request for one of 100 ms. Reads of 330 ms wait in a queue of which a third can be on time.

Change: until a first request of a kind has ended, a third of the time for which an answer is of full use is taken for its time. Operators set objectives near three times the work; the first answer replaces the guess.

Test: a_new_queue_lets_wait_what_can_be_on_time_by_its_objective let 53 of 60 wait before, 6 to 18 are asked for.

--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -67,6 +67,13 @@
 /// is less than a network round trip between domains and the way back to its caller.
 const LOOK_STEP: Duration = Duration::from_millis(5);
 
+/// Share of the time for an answer of full use that a request is taken to run for, until one of its kind has
+/// ended here.
+///
+/// Failure: after a loss of all power no gate knows how long work takes. At a guess too low each of them lets
+/// several times as many wait as can be answered in time, and all of these are late.
+const ASSUMED_SHARE: f64 = 1.0 / 3.0;
+
 /// How much longer work takes at a target that has just started, as targets of the fleet do.
 const COLD_SLOWNESS: f64 = 2.0;
 
@@ -162,6 +169,9 @@
         if work.give_up_by <= now {
             return self.refused(now, RefusedReason::CannotEndInTime);
         }
+        if let Some(on_time_left) = work.on_time_by.checked_duration_since(now) {
+            self.times.assume(work.kind, on_time_left.mul_f64(ASSUMED_SHARE));
+        }
         let has_room = self.running.len() < self.limit();
         let is_passed_over = self.decisions.slow_passed_over && !work.may_wait;
         if has_room && is_passed_over && self.pace.at(now) >= SLOW_PACE {
--- a/crates/yuccarack_policy/src/work_queue/times.rs
+++ b/crates/yuccarack_policy/src/work_queue/times.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
-/// Time that a request of an unknown kind is taken to need; between the shortest and the longest
-/// kinds of today's services, 22 and 210 ms.
+/// Time that a request is taken to need while nothing is known of any kind; between the shortest and the
+/// longest kinds of today's services, 22 and 210 ms.
 const UNKNOWN: Duration = Duration::from_millis(100);
 
 /// Weight of a new time; some ten requests make up the mean, a second of work of a busy target.
@@ -30,6 +30,8 @@
     mean: Duration,
     /// Mean distance from the mean.
     deviation: Duration,
+    /// Whether it is only assumed, until a first request has ended.
+    is_assumed: bool,
 }
 
 /// Smoothed times by kind.
@@ -71,6 +73,16 @@
         time.mean.as_secs_f64() <= SHORT_SHARE * square / mean.max(f64::MIN_POSITIVE)
     }
 
+    /// Takes `time` for that of `kind` until a request of it has ended.
+    pub fn assume(&mut self, kind: u64, time: Duration) {
+        if self.of_kind.len() >= KINDS_MAX || self.of_kind.contains_key(&kind) {
+            return;
+        }
+        let assumed = KindTime { mean: time, deviation: Duration::ZERO, is_assumed: true };
+        self.of_kind.insert(kind, assumed);
+        self.mean.get_or_insert(time);
+    }
+
     pub fn took(&mut self, kind: u64, time: Duration) {
         let (seconds, square) = (time.as_secs_f64(), time.as_secs_f64().powi(2));
         let (mean, mean_square) = self.busy.unwrap_or((seconds, square));
@@ -79,11 +91,15 @@
             mean_square + BUSY_WEIGHT * (square - mean_square),
         ));
         self.mean = Some(self.mean.map_or(time, |mean| smoothed(mean, time)));
+        let first = KindTime { mean: time, deviation: Duration::ZERO, is_assumed: false };
         if let Some(known) = self.of_kind.get_mut(&kind) {
+            if known.is_assumed {
+                *known = first;
+            }
             known.deviation = smoothed(known.deviation, known.mean.abs_diff(time));
             known.mean = smoothed(known.mean, time);
         } else if self.of_kind.len() < KINDS_MAX {
-            self.of_kind.insert(kind, KindTime { mean: time, deviation: Duration::ZERO });
+            self.of_kind.insert(kind, first);
         }
     }
 }
--- a/crates/yuccarack_policy/tests/work_queue.rs
+++ b/crates/yuccarack_policy/tests/work_queue.rs
@@ -56,6 +56,20 @@
     assert_eq!(refused.reason, RefusedReason::Full);
 }
 
+/// Guards against queues of late answers after a loss of all power, when no gate knows how long work takes.
+#[test]
+fn a_new_queue_lets_wait_what_can_be_on_time_by_its_objective() {
+    let now = Instant::now();
+    let mut queue = WorkQueue::new(8);
+    let read = Work { on_time_by: now + ms(1_000), give_up_by: now + ms(1_300), ..work(now, READ) };
+    let mut waiting = 0;
+    for _ in 0..60 {
+        waiting += usize::from(matches!(queue.offer(now, read), Offered::Wait(_)));
+    }
+    // Six run for a third of a second, and twelve more can be on time after them.
+    assert!((6..=18).contains(&waiting), "{waiting} wait");
+}
+
 /// Guards against requests that are refused after a loss of all power because the slowness of targets that
 /// have just started is counted twice.
 #[test]
