A daemon that starts beside a slow store asks for members and routes at the same time

Change: when the members haven't come within 60 ms, the routes are asked for beside them. A prompt store is asked as seldom as before.

--- a/crates/yuccarackd/src/coordination/routed/follow.rs
+++ b/crates/yuccarackd/src/coordination/routed/follow.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 use yuccarack_config::routing::RoutingVersion;
 use yuccarack_platform::feed::{FeedError, FeedRow};
@@ -59,6 +59,9 @@
 /// pause of 1.2 s cost 1,336 calls to the store in 40 s.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(2_500);
 
+/// Longest wait for the first answer of a store that isn't slow; it usually takes some 10 ms.
+const PROMPT_ANSWER_MAX: Duration = Duration::from_millis(60);
+
 /// First wait after a question that failed.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 
@@ -144,7 +147,8 @@
     async fn read_members(&self) {
         sleep_until(self.first_read_at).await;
         let mut retry = RETRY_FIRST;
-        while let Err(error) = self.step(Followed::Members, FEED_WAIT).await {
+        while let Err(error) = self.ask_members().await {
+            self.news.set_asks_store(false);
             self.failed(Followed::Members, &error);
             sleep(jittered(retry)).await;
             retry = (retry * 2).min(self.retry_max());
@@ -152,6 +156,19 @@
         self.served(Followed::Members);
     }
 
+    /// Asks for the members once, and beside that for the operators' document where the answer is late.
+    ///
+    /// Failure: the store is slow when all power returns. One answer after the other, from the store and then
+    /// from a relay that has waited as long, callers wait twice as long for the first routes.
+    async fn ask_members(&self) -> Result<bool, FeedError> {
+        let mut step = std::pin::pin!(self.step(Followed::Members, FEED_WAIT));
+        if let Ok(result) = timeout(PROMPT_ANSWER_MAX, &mut step).await {
+            return result;
+        }
+        self.news.set_asks_store(true);
+        step.await
+    }
+
     /// Reads the operators' document once.
     pub async fn read_routing(&self) {
         let started_at = Instant::now();
--- a/crates/yuccarackd/tests/routed/recovery.rs
+++ b/crates/yuccarackd/tests/routed/recovery.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 use yuccarack_platform_standin::{
     caller::{Call, ask},
-    deployment::Deployment,
+    deployment::{Deployment, wait},
     store::DoorMode,
 };
 
@@ -97,3 +97,21 @@
         println!("{store:?}: {SERVED_PERCENT} of {CALLS} served after {} ms", took.as_millis());
     }
 }
+
+/// Guards against a start that asks a slow store for one thing after the other while callers wait.
+#[tokio::test]
+async fn a_daemon_that_starts_beside_a_slow_store_waits_for_one_answer() {
+    let mut deployment = deployed("slow-start", &["board"; INSTANCES]).await;
+    let delay = Duration::from_millis(600);
+    deployment.instances.iter_mut().for_each(|instance| instance.kill_daemon());
+    set(&deployment, DoorMode::Open, delay);
+    let starting = deployment.instances.iter_mut().map(|instance| instance.start_daemon());
+    join_all(starting).await.into_iter().for_each(|started| started.expect("a daemon"));
+    let started_at = Instant::now();
+    for instance in &deployment.instances {
+        wait("routes", || instance.is_ready()).await;
+    }
+    let took = started_at.elapsed();
+    assert!(took < delay * 3 / 2, "routes after {} ms", took.as_millis());
+    set(&deployment, DoorMode::Open, Duration::ZERO);
+}
