A notified daemon that becomes a relay says so at once

What callers saw: nothing in the test that showed it, and changes only by the questions to peers while it lasts.

Cause: its first question to the store is held back for 25 s when nothing changes; until an answer it takes itself for not served and says that it is no relay. Logs: n7 was told by n1 while n1 asked n7 each second, for 20 s.

Change: the first question of a daemon that the store doesn't serve yet is not held back.

Test: a_daemon_that_becomes_a_relay_notifies_others_at_once waited 20 s in vain before.

--- a/crates/yuccarackd/src/coordination/routed/follow.rs
+++ b/crates/yuccarackd/src/coordination/routed/follow.rs
@@ -47,6 +47,13 @@
 /// changes aren't heard of until those are given up. Changes have to be in force within seconds.
 const FEED_WAIT_WARY: Duration = Duration::from_secs(2);
 
+/// The same for the first question of a daemon that is not served by the store yet.
+///
+/// Failure: a notified daemon becomes a relay, and its first question is held back for as long as nothing
+/// changes. Until then it doesn't know that the store serves it and says that it is no relay. Two pairs of
+/// daemons that take each other for relays wait for each other so.
+const FEED_WAIT_FIRST: Duration = Duration::ZERO;
+
 /// Time for which one failure makes wary.
 const WARY: Duration = Duration::from_secs(12);
 
@@ -192,7 +199,11 @@
                 () = stop.cancelled() => return,
                 () = self.news.wait_asks_store(true) => {}
             }
-            let wait = if Instant::now() < wary_until { FEED_WAIT_WARY } else { FEED_WAIT };
+            let wait = match self.news.source() {
+                NewsSource::Store if Instant::now() >= wary_until => FEED_WAIT,
+                NewsSource::Store => FEED_WAIT_WARY,
+                NewsSource::Relay | NewsSource::Nobody => FEED_WAIT_FIRST,
+            };
             let step = tokio::select! {
                 () = stop.cancelled() => return,
                 // What a held question has not told yet, a relay tells.
--- a/crates/yuccarackd/tests/routed/relays.rs
+++ b/crates/yuccarackd/tests/routed/relays.rs
@@ -23,6 +23,12 @@
 /// Time within which operators want a change in force.
 const IN_FORCE_MAX: Duration = Duration::from_secs(2);
 
+/// Time in which a daemon notices a silent relay and is told by another one.
+const RELAY_CHANGED_MAX: Duration = Duration::from_secs(3);
+
+/// Gauge that says whether news come by a relay.
+const RELAYED: &str = "yuccarack_news_relayed";
+
 /// An outage of the store.
 const OUTAGE: Duration = Duration::from_secs(8);
 
@@ -365,6 +371,29 @@
     }
 }
 
+/// Guards against a daemon that becomes a relay and says for 25 s that it is none.
+#[tokio::test]
+async fn a_daemon_that_becomes_a_relay_notifies_others_at_once() {
+    let mut deployment = settled("relays-new").await;
+    let domain: Vec<usize> = (0..SERVICES.len()).step_by(3).collect();
+    let told = told();
+    let mut pair = domain.iter().copied().filter(|number| told.contains_key(number));
+    let (first, second) = (pair.next().expect("one"), pair.next().expect("another one"));
+    let relays = told[&first].clone();
+    deployment.instances[relays[0]].kill_daemon();
+    deployment.store.delete("members", &format!("n{}", relays[0]));
+    let others = [first, second, relays[1]].map(|number| format!("n{number}"));
+    let standings = [first, second]
+        .map(|number| standing(&format!("n{number}"), others.iter().map(String::as_str)));
+    let new = if standings[0] == Standing::Asks { first } else { second };
+    let left = if new == first { second } else { first };
+    wait("the new relay", || async { gauge(&deployment, new, RELAYED).await == Some(0) }).await;
+    deployment.instances[relays[1]].daemon.as_ref().expect("a daemon").freeze();
+    tokio::time::sleep(RELAY_CHANGED_MAX).await;
+    assert_eq!(gauge(&deployment, left, RELAYED).await, Some(1), "n{left} is told by n{new}");
+    deployment.instances[relays[1]].daemon.as_ref().expect("a daemon").wake();
+}
+
 /// Guards against a first start that takes a target for new which had said that it leaves.
 #[tokio::test]
 async fn a_leave_is_known_though_settings_speak_of_a_first_start() {
