--- a/crates/yuccarack_config/src/routed_settings.rs
+++ b/crates/yuccarack_config/src/routed_settings.rs
@@ -7,6 +7,8 @@
     path::{Path, PathBuf},
 };
 
+use serde::{Deserialize, Deserializer, de::Error};
+
 use crate::{
     decisions::Decisions,
     faults::{self, FileError},
@@ -69,14 +71,19 @@
     #[serde(default)]
     pub struct RoutedBounds {
         /// Time between two heartbeats of a target, in ms.
+        #[serde(deserialize_with = "rounded_down")]
         pub heartbeat_ms: u32,
         /// Time between the word to stop and the end of the process, in ms.
+        #[serde(deserialize_with = "rounded_down")]
         pub stop_max_ms: u32,
         /// Time out of reach after which an instance is taken for gone, in ms.
+        #[serde(deserialize_with = "rounded_down")]
         pub gone_after_ms: u32,
         /// Tries beyond the first for each hundred requests of a service.
+        #[serde(deserialize_with = "rounded_down")]
         pub extra_tries_percent: u8,
         /// Tries beyond the first that all daemons together may make besides.
+        #[serde(deserialize_with = "rounded_down")]
         pub extra_tries: u32,
     }
 }
@@ -118,6 +125,21 @@
     }
 }
 
+/// Reads a number that may have a fraction: operators derive bounds from figures for a whole fleet.
+///
+/// # Errors
+///
+/// It is no number, or none of the type.
+fn rounded_down<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: TryFrom<u64>,
+{
+    let number = f64::deserialize(deserializer)?;
+    // Below zero or beyond the type, a cast gives the nearest number, which the check has refused.
+    T::try_from(number as u64).map_err(|_| D::Error::custom(format!("{number} is out of range")))
+}
+
 mod defaults {
     /// The usual bounds fit a tenth of a core: at the most 160 lines a second, 20 us each, 0.3 % of one.
     pub fn log_lines_percent() -> u16 {
--- a/crates/yuccarack_config/src/routed_settings/check.rs
+++ b/crates/yuccarack_config/src/routed_settings/check.rs
@@ -41,11 +41,11 @@
 ]);
 
 const BOUNDS: Kind = Kind::Group(&[
-    Field::defaulted("heartbeat_ms", Kind::number(10, 60_000)),
-    Field::defaulted("stop_max_ms", Kind::number(100, 3_600_000)),
-    Field::defaulted("gone_after_ms", Kind::number(1_000, 86_400_000)),
-    Field::defaulted("extra_tries_percent", Kind::number(0, 100)),
-    Field::defaulted("extra_tries", Kind::number(0, 1_000_000)),
+    Field::defaulted("heartbeat_ms", Kind::rounded(10, 60_000)),
+    Field::defaulted("stop_max_ms", Kind::rounded(100, 3_600_000)),
+    Field::defaulted("gone_after_ms", Kind::rounded(1_000, 86_400_000)),
+    Field::defaulted("extra_tries_percent", Kind::rounded(0, 100)),
+    Field::defaulted("extra_tries", Kind::rounded(0, 1_000_000)),
 ]);
 
 /// All faults of `file`, none when it is accepted.
--- a/crates/yuccarack_config/src/schema.rs
+++ b/crates/yuccarack_config/src/schema.rs
@@ -40,6 +40,13 @@
         /// Largest value.
         max: u64,
     },
+    /// A number from `min` to `max` that is rounded down.
+    Rounded {
+        /// Least value.
+        min: u32,
+        /// Largest value.
+        max: u32,
+    },
     /// `true` or `false`.
     Flag,
     /// Name of an instance, a failure domain or a route.
@@ -106,6 +113,11 @@
     pub const fn number(min: u64, max: u64) -> Self {
         Self::Number { min, max }
     }
+
+    /// A number from `min` to `max` that is rounded down.
+    pub const fn rounded(min: u32, max: u32) -> Self {
+        Self::Rounded { min, max }
+    }
 }
 
 impl fmt::Display for Kind {
@@ -113,6 +125,9 @@
         match self {
             Self::Number { min, max } if min == max => write!(f, "{min}"),
             Self::Number { min, max } => write!(f, "a whole number from {min} to {max}"),
+            Self::Rounded { min, max } => {
+                write!(f, "a number from {min} to {max}, rounded down")
+            }
             Self::Flag => write!(f, "true or false"),
             Self::Name => write!(
                 f,
--- a/crates/yuccarack_config/src/schema/text.rs
+++ b/crates/yuccarack_config/src/schema/text.rs
@@ -28,7 +28,11 @@
             Self::PeerAddress => {
                 is_address(text, |address| !address.ip().is_unspecified() && address.port() != 0)
             }
-            Self::Number { .. } | Self::Flag | Self::List { .. } | Self::Group(_) => false,
+            Self::Number { .. }
+            | Self::Rounded { .. }
+            | Self::Flag
+            | Self::List { .. }
+            | Self::Group(_) => false,
         }
     }
 }
--- a/crates/yuccarack_config/src/schema/walk.rs
+++ b/crates/yuccarack_config/src/schema/walk.rs
@@ -34,6 +34,9 @@
             (Self::Number { min, max }, Value::Number(number)) => {
                 number.as_u64().is_some_and(|number| (*min..=*max).contains(&number))
             }
+            (Self::Rounded { min, max }, Value::Number(number)) => number
+                .as_f64()
+                .is_some_and(|number| (f64::from(*min)..=f64::from(*max)).contains(&number)),
             (Self::Flag, Value::Bool(_)) => true,
             (Self::List { length_min, length_max, .. }, Value::Array(items)) => {
                 (*length_min..=*length_max).contains(&items.len())
--- a/crates/yuccarackd/tests/settings_file.rs
+++ b/crates/yuccarackd/tests/settings_file.rs
@@ -7,6 +7,7 @@
 };
 
 use serde_json::{Value, json};
+use yuccarack_config::routed_settings::RoutedSettings;
 
 fn daemon(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_yuccarackd")).args(args).output().expect("a built daemon")
@@ -63,3 +64,21 @@
         assert!(output.stderr.is_empty(), "{example}");
     }
 }
+
+/// Guards against a fleet that doesn't start where bounds that operators derive have a fraction.
+#[test]
+fn bounds_with_a_fraction_are_rounded_down() {
+    let settings = r#"{
+        "instance": "n1", "failure_domain": "a", "service": "board",
+        "call_address": "127.0.0.1:0", "gate_address": "127.0.0.1:0",
+        "liveness_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0",
+        "metrics_address": "127.0.0.1:0", "store_address": "127.0.0.1:9",
+        "bounds": {
+            "heartbeat_ms": 1500.5, "stop_max_ms": 2.5e3,
+            "extra_tries_percent": 0.2e2, "extra_tries": 30.714285714285715
+        }
+    }"#;
+    let bounds = RoutedSettings::parse(settings.as_bytes()).expect("settings").bounds;
+    assert_eq!((bounds.heartbeat_ms, bounds.stop_max_ms), (1_500, 2_500));
+    assert_eq!((bounds.extra_tries_percent, bounds.extra_tries), (20, 30));
+}
