A cold target gets no more requests a second than operators allow

Cause: nothing in the code knew cold_per_s, and a gate filled a target's slots whatever its state. Ruled out: a limiter that acts on a target's word that it is cold; heartbeats come each 1.5 s, and the targets may become cold at any moment, by when twice the bound has gone out.

Change: the gate, the only way to a target, counts each request that was handed over since a look at the target's health last proved it warm (yuccarack_policy::cold_rate). At the bound nothing more goes out until a look proves it warm or the window has passed, whenever the target became cold; looks come the more often the more requests there are. A process that has just started allows nothing before it knows the target, and a target's next process takes over the count. While a target is cold its requests are spread over the second, its gate tells entries how many it runs at its rate, and what it can't take goes on to others or is refused with the time at which it is warm.

--- a/crates/yuccarack_config/src/decisions.rs
+++ b/crates/yuccarack_config/src/decisions.rs
@@ -25,6 +25,8 @@
         pub slow_passed_over: bool,
         /// Gates of the own failure domain go first.
         pub home_first: bool,
+        /// What a cold target may get in a second is spread over it.
+        pub cold_spread: bool,
     }
 }
 
@@ -40,6 +42,7 @@
             short_first: true,
             slow_passed_over: true,
             home_first: true,
+            cold_spread: true,
         }
     }
 }
--- a/crates/yuccarack_config/src/ids.rs
+++ b/crates/yuccarack_config/src/ids.rs
@@ -9,6 +9,9 @@
 /// Name of a failure domain.
 pub type DomainName = String;
 
+/// Name of a region: failure domains that are near each other.
+pub type RegionName = String;
+
 /// Name by which a caller is counted for fairness.
 pub type CallerId = String;
 
--- a/crates/yuccarack_config/src/routed_settings.rs
+++ b/crates/yuccarack_config/src/routed_settings.rs
@@ -12,7 +12,7 @@
 use crate::{
     decisions::Decisions,
     faults::{self, FileError},
-    ids::{DomainName, InstanceId, ServiceName},
+    ids::{DomainName, InstanceId, RegionName, ServiceName},
     routing::RoutingTable,
     routing_file::RoutingFile,
     schema::Kind,
@@ -29,6 +29,9 @@
         pub instance: InstanceId,
         /// Failure domain of this instance.
         pub failure_domain: DomainName,
+        /// Region of each failure domain of the fleet.
+        #[serde(default)]
+        pub regions: Vec<DomainRegion>,
         /// Service of the target on this instance.
         pub service: ServiceName,
         /// Address on which callers of this instance reach the entry.
@@ -67,6 +70,14 @@
         pub decisions: Decisions,
     }
 
+    /// The region of one failure domain.
+    pub struct DomainRegion {
+        /// The failure domain.
+        pub failure_domain: DomainName,
+        /// Its region.
+        pub region: RegionName,
+    }
+
     /// Times and shares that hold for the whole fleet.
     #[serde(default)]
     pub struct RoutedBounds {
@@ -85,6 +96,12 @@
         /// Tries beyond the first that all daemons together may make besides.
         #[serde(deserialize_with = "rounded_down")]
         pub extra_tries: u32,
+        /// Requests that a cold target may get, in percent of the rate that its service bears.
+        #[serde(deserialize_with = "rounded_down")]
+        pub cold_excess_percent: u32,
+        /// Requests that a cold target may get in a second besides.
+        #[serde(deserialize_with = "rounded_down")]
+        pub cold_slack: u32,
     }
 }
 
@@ -119,6 +136,12 @@
         Ok(file.map(RoutingFile::into_table))
     }
 
+    /// Region of `failure_domain`, where it is known.
+    pub fn region_of(&self, failure_domain: &str) -> Option<&RegionName> {
+        let known = self.regions.iter().find(|known| known.failure_domain == failure_domain);
+        known.map(|known| &known.region)
+    }
+
     /// Where other daemons reach the gate.
     pub fn gate_reached_at(&self) -> SocketAddr {
         self.gate_told_address.unwrap_or(self.gate_address)
@@ -155,6 +178,8 @@
             gone_after_ms: 600_000,
             extra_tries_percent: 20,
             extra_tries: 60,
+            cold_excess_percent: 100,
+            cold_slack: 0,
         }
     }
 }
--- a/crates/yuccarack_config/src/routed_settings/check.rs
+++ b/crates/yuccarack_config/src/routed_settings/check.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     faults::Fault,
-    schema::{Field, Kind},
+    schema::{Field, Kind, Unique},
     settings::LOG,
 };
 
@@ -12,6 +12,7 @@
 pub(super) const SETTINGS: Kind = Kind::Group(&[
     Field::required("instance", Kind::Name),
     Field::required("failure_domain", Kind::Name),
+    Field::defaulted("regions", REGIONS),
     Field::required("service", Kind::ServiceName),
     Field::required("call_address", Kind::OwnAddress),
     Field::required("gate_address", Kind::ToldAddress),
@@ -28,6 +29,21 @@
     Field::defaulted("decisions", DECISIONS),
 ]);
 
+/// Most failure domains of a fleet.
+const DOMAINS_MAX: usize = 1_000;
+
+const REGIONS: Kind = Kind::List {
+    of: &DOMAIN_REGION,
+    length_min: 0,
+    length_max: DOMAINS_MAX,
+    unique: Unique::Field("failure_domain"),
+};
+
+const DOMAIN_REGION: Kind = Kind::Group(&[
+    Field::required("failure_domain", Kind::Name),
+    Field::required("region", Kind::Name),
+]);
+
 const DECISIONS: Kind = Kind::Group(&[
     Field::defaulted("early_reads", Kind::Flag),
     Field::defaulted("offered_bodies", Kind::Flag),
@@ -38,6 +54,7 @@
     Field::defaulted("short_first", Kind::Flag),
     Field::defaulted("slow_passed_over", Kind::Flag),
     Field::defaulted("home_first", Kind::Flag),
+    Field::defaulted("cold_spread", Kind::Flag),
 ]);
 
 const BOUNDS: Kind = Kind::Group(&[
@@ -46,6 +63,8 @@
     Field::defaulted("gone_after_ms", Kind::rounded(1_000, 86_400_000)),
     Field::defaulted("extra_tries_percent", Kind::rounded(0, 100)),
     Field::defaulted("extra_tries", Kind::rounded(0, 1_000_000)),
+    Field::defaulted("cold_excess_percent", Kind::rounded(0, 100_000)),
+    Field::defaulted("cold_slack", Kind::rounded(0, 1_000_000)),
 ]);
 
 /// All faults of `file`, none when it is accepted.
--- a/crates/yuccarack_config/src/routing.rs
+++ b/crates/yuccarack_config/src/routing.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3Default;
 
-use crate::{ids::ServiceName, routing_changes::RoutesDigest};
+use crate::{
+    ids::{RegionName, ServiceName},
+    routing_changes::RoutesDigest,
+};
 
 /// Number of an accepted routing table; rises with each change.
 pub type RoutingVersion = u64;
@@ -46,6 +49,9 @@
         pub targets_max: u8,
         /// How urgent the requests are; 0 is the most urgent.
         pub rank: u8,
+        /// Regions that the requests may reach; all without one.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub home_regions: Vec<RegionName>,
     }
 
     /// A service and the share of a route that it gets.
@@ -64,6 +70,9 @@
         pub load_path: String,
         /// Connections that one target takes.
         pub connections_max: u16,
+        /// Requests that one target bears in 1,000 seconds while it is cold; 0 for no bound.
+        #[serde(default)]
+        pub cold_rate_per_1000_s: u32,
     }
 
     /// What callers may send.
@@ -110,6 +119,7 @@
             on_time_ms,
             targets_max,
             rank,
+            home_regions,
         } = self;
         let mut hasher = Xxh3Default::new();
         let mut add_text = |text: &str| {
@@ -121,6 +131,7 @@
             add_text(service);
             add_text(&weight.to_string());
         }
+        home_regions.iter().for_each(|region| add_text(region));
         hasher.update(&[u8::from(*is_repeatable), u8::from(*is_upload), *targets_max, *rank]);
         hasher.update(&wait_max_ms.to_le_bytes());
         hasher.update(&on_time_ms.to_le_bytes());
--- a/crates/yuccarack_config/src/routing_file/check.rs
+++ b/crates/yuccarack_config/src/routing_file/check.rs
@@ -16,6 +16,12 @@
 /// Most services that share a route.
 const SPLIT_MAX: usize = 16;
 
+/// Most regions that a route names.
+const REGIONS_MAX: usize = 64;
+
+/// Most requests in 1,000 seconds that bound a cold target; 1,000 a second and more bound none.
+const COLD_RATE_MAX: u64 = 1_000_000;
+
 /// Largest number that every JSON tool of an operator keeps exactly, 2^53 - 1.
 const VERSION_MAX: u64 = 9_007_199_254_740_991;
 
@@ -42,8 +48,12 @@
     Field::required("on_time_ms", Kind::number(1, WAIT_MAX_MS)),
     Field::required("targets_max", Kind::number(1, 10)),
     Field::required("rank", Kind::number(0, 255)),
+    Field::defaulted("home_regions", HOME_REGIONS),
 ]);
 
+const HOME_REGIONS: Kind =
+    Kind::List { of: &Kind::Name, length_min: 0, length_max: REGIONS_MAX, unique: Unique::Value };
+
 const SPLIT: Kind = Kind::List {
     of: &SHARE,
     length_min: 1,
@@ -60,6 +70,7 @@
     Field::required("name", Kind::ServiceName),
     Field::required("load_path", Kind::PathPrefix),
     Field::required("connections_max", Kind::number(1, 65_535)),
+    Field::defaulted("cold_rate_per_1000_s", Kind::number(0, COLD_RATE_MAX)),
 ]);
 
 const CALLER_LIMITS: Kind = Kind::Group(&[
--- a/crates/yuccarack_config/tests/routing_changes.rs
+++ b/crates/yuccarack_config/tests/routing_changes.rs
@@ -39,11 +39,13 @@
             on_time_ms: 300,
             targets_max: 2,
             rank: value.0,
+            home_regions: vec![format!("g{}", value.0)],
         };
         let service = RoutedService {
             name: format!("s{version}"),
             load_path: "/".to_owned(),
             connections_max: 9,
+            cold_rate_per_1000_s: 14_000,
         };
         Routing::new(RoutingTable {
             version,
--- /dev/null
+++ b/crates/yuccarack_policy/src/cold_rate.rs
@@ -0,0 +1,210 @@
+//! How many requests a target gets while it may be cold.
+//!
+//! The pattern is a small service whose targets bear far fewer requests a second while they are cold
+//! than their usual share of the load. After a loss of power that load meets all of them at once, they
+//! crash, come back cold, and meet it again, for as long as it lasts. A target may also become cold at
+//! any moment, and its gate learns of that only later. So what counts is every request that was handed
+//! over since the target was last known to be warm: if these keep the bound, they keep it whenever the
+//! target became cold.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+/// Longest time from the decision on a request to its arrival at the target, which is on the same machine.
+///
+/// Failure: a daemon that gets a tenth of a core stands still for most of 100 ms, and what it let through
+/// before arrives together with what it lets through after.
+pub const ON_THE_WAY_MAX: Duration = Duration::from_millis(150);
+
+/// The same while the processor isn't starved. A request that was let through as long before a look had
+/// arrived by then; one that stands still with its daemon goes before the look that the daemon sends later.
+const ON_THE_WAY_USUAL: Duration = Duration::from_millis(20);
+
+/// Span in which the bound holds: the second of the rule, and the time on the way.
+pub const WINDOW: Duration = Duration::from_millis(1_000).saturating_add(ON_THE_WAY_MAX);
+
+/// Requests that a cold target may get at once before they are spread over the window.
+const BURST: usize = 4;
+
+/// Share of the bound from which the target is asked whether it is warm, so that the answer is there before
+/// the bound holds anything up.
+const LOOK_SHARE: f64 = 0.7;
+
+/// Least time between two such questions.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Most requests that a target which may be cold gets in any second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdBound(usize);
+
+impl ColdBound {
+    /// The bound of a target that bears `rate_per_1000_s` requests in 1,000 seconds, as operators allow
+    /// `excess_percent` of that and `slack` requests more; none without a rate.
+    ///
+    /// A target that gets nothing at all would never become warm, so the least bound is one request.
+    pub fn new(rate_per_1000_s: u32, excess_percent: u32, slack: u32) -> Option<Self> {
+        if rate_per_1000_s == 0 {
+            return None;
+        }
+        let allowed = u64::from(rate_per_1000_s) * u64::from(excess_percent) / 100_000;
+        let most = allowed.saturating_add(slack.into()).max(1);
+        Some(Self(usize::try_from(most).unwrap_or(usize::MAX)))
+    }
+
+    /// Most requests in any second.
+    pub fn requests(self) -> usize {
+        self.0
+    }
+
+    /// Mean time between two requests at the bound.
+    pub fn interval(self) -> Duration {
+        WINDOW.div_f64(self.0 as f64)
+    }
+}
+
+/// A request that a target may have got while it was cold.
+#[derive(Clone, Copy, Debug)]
+struct HandedOver {
+    at: Instant,
+    /// Whether the target has said that it was cold then.
+    is_cold: bool,
+}
+
+/// Limits the requests of one target that may be cold.
+#[derive(Clone, Debug, Default)]
+pub struct ColdRate {
+    bound: Option<ColdBound>,
+    /// Requests of the last window that the target may have got while it was cold, the latest last.
+    handed_over: VecDeque<HandedOver>,
+    /// Start of this process; an earlier one may have handed requests over until then.
+    started_at: Option<Instant>,
+    /// Latest moment at which the target is known to have been warm.
+    warm_as_of: Option<Instant>,
+    cold_until: Option<Instant>,
+    looked_at: Option<Instant>,
+    is_spread: bool,
+}
+
+impl ColdRate {
+    /// Limits the target of a process that started at `started_at`, without a bound yet.
+    pub fn new(started_at: Instant) -> Self {
+        Self { started_at: Some(started_at), ..Self::default() }
+    }
+
+    /// Spreads requests over the window while the target is cold, or lets them go as they come.
+    pub fn with_spread(mut self, is_spread: bool) -> Self {
+        self.is_spread = is_spread;
+        self
+    }
+
+    /// Follows the operators' bound; none lifts it.
+    pub fn set_bound(&mut self, bound: Option<ColdBound>) {
+        self.bound = bound;
+    }
+
+    /// Notes that the target, asked just now, says that it is cold until `cold_until`.
+    pub fn set_cold_until(&mut self, cold_until: Instant) {
+        self.cold_until = Some(cold_until);
+        // It may have been cold since it was last known to be warm.
+        self.handed_over.iter_mut().for_each(|request| request.is_cold = true);
+    }
+
+    /// Notes that a heartbeat says so. It may have been long on its way, so it never ends a cold time.
+    pub fn extend_cold_until(&mut self, cold_until: Instant) {
+        self.cold_until = self.cold_until.max(Some(cold_until));
+    }
+
+    /// Notes that the target was warm at `as_of`, or later.
+    pub fn set_warm(&mut self, as_of: Instant) {
+        self.warm_as_of = self.warm_as_of.max(Some(as_of));
+        self.cold_until = None;
+        self.handed_over
+            .retain(|request| request.is_cold || request.at + ON_THE_WAY_USUAL >= as_of);
+    }
+
+    /// Whether the target says that it is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| until > now)
+    }
+
+    /// Time for which it will be cold by its own word.
+    pub fn cold_for(&self, now: Instant) -> Duration {
+        self.cold_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Mean time between two requests while the target is cold; none where nothing bounds them.
+    pub fn interval(&self, now: Instant) -> Option<Duration> {
+        self.bound.filter(|_| self.is_cold(now)).map(ColdBound::interval)
+    }
+
+    /// When the next request may be handed over; none if at once.
+    pub fn free_at(&self, now: Instant) -> Option<Instant> {
+        let bound = self.bound?;
+        let free_at = self.window_free_at(bound).max(self.start_free_at());
+        let is_spread = self.is_spread && self.is_cold(now);
+        let spread_at = if is_spread { self.spread_free_at(bound) } else { None };
+        free_at.max(spread_at).filter(|free_at| *free_at > now)
+    }
+
+    /// Notes that a request is handed over.
+    pub fn handed_over(&mut self, now: Instant) {
+        if self.bound.is_none() {
+            return;
+        }
+        while self.handed_over.front().is_some_and(|oldest| oldest.at + WINDOW <= now) {
+            self.handed_over.pop_front();
+        }
+        let is_cold = self.is_cold(now);
+        self.handed_over.push_back(HandedOver { at: now, is_cold });
+    }
+
+    /// When the target is to be asked whether it is warm; none while the bound is far or it is cold.
+    pub fn look_due_at(&self, now: Instant) -> Option<Instant> {
+        let bound = self.bound?;
+        let pause_ends_at = self.looked_at.map(|looked_at| looked_at + LOOK_PAUSE);
+        let due_at = match self.cold_until.filter(|until| *until > now) {
+            Some(until) => until,
+            None if self.in_window(now) >= self.look_from(bound) => now,
+            None if self.free_at(now).is_some() => now,
+            None => return None,
+        };
+        Some(pause_ends_at.map_or(due_at, |ends_at| ends_at.max(due_at)))
+    }
+
+    /// Notes that the target was asked.
+    pub fn looked(&mut self, now: Instant) {
+        self.looked_at = Some(now);
+    }
+
+    fn look_from(&self, bound: ColdBound) -> usize {
+        (bound.requests() as f64 * LOOK_SHARE) as usize
+    }
+
+    /// Requests of the last window that count.
+    fn in_window(&self, now: Instant) -> usize {
+        self.handed_over.iter().filter(|request| request.at + WINDOW > now).count()
+    }
+
+    fn window_free_at(&self, bound: ColdBound) -> Option<Instant> {
+        let first = self.handed_over.len().checked_sub(bound.requests())?;
+        self.handed_over.get(first).map(|request| request.at + WINDOW)
+    }
+
+    /// Failure: a daemon is killed and starts again at once, and its target gets the requests of two
+    /// processes within one second.
+    fn start_free_at(&self) -> Option<Instant> {
+        let started_at = self.started_at?;
+        let is_proved = self.warm_as_of.is_some_and(|warm_as_of| warm_as_of > started_at);
+        (!is_proved).then(|| started_at + WINDOW)
+    }
+
+    /// Failure: all that a cold target may get in a second goes in the first tenths of it, and what is urgent
+    /// and comes after that waits for the rest of the second.
+    fn spread_free_at(&self, bound: ColdBound) -> Option<Instant> {
+        let burst = BURST.min(bound.requests());
+        let first = self.handed_over.len().checked_sub(burst)?;
+        self.handed_over.get(first).map(|request| request.at + bound.interval() * burst as u32)
+    }
+}
--- a/crates/yuccarack_policy/src/lib.rs
+++ b/crates/yuccarack_policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod budget;
 pub mod choice;
+pub mod cold_rate;
 pub mod crash_counts;
 pub mod exchange_pace;
 pub mod extra_tries;
--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -29,7 +29,7 @@
     verdict::{Offered, Refused, RefusedReason, Settled},
     work::{RunEnd, Work},
 };
-use crate::pace::Pace;
+use crate::{cold_rate::ColdRate, pace::Pace};
 
 new_key_type! {
     /// A request that runs; it must be released exactly once.
@@ -92,7 +92,7 @@
     waiting: SlotMap<WaitingKey, Waiting>,
     times: WorkTimes,
     pace: Pace,
-    cold_until: Option<Instant>,
+    cold_rate: ColdRate,
     settled: Vec<Settled>,
     is_leaving: bool,
     decisions: Decisions,
@@ -107,7 +107,7 @@
             waiting: SlotMap::with_key(),
             times: WorkTimes::new(),
             pace: Pace::new(),
-            cold_until: None,
+            cold_rate: ColdRate::default(),
             settled: Vec::new(),
             is_leaving: false,
             decisions: Decisions::default(),
@@ -117,6 +117,13 @@
     /// Decides by these.
     pub fn with_decisions(mut self, decisions: Decisions) -> Self {
         self.decisions = decisions;
+        self.cold_rate = self.cold_rate.with_spread(decisions.cold_spread);
+        self
+    }
+
+    /// Lets the target get what `cold_rate` allows.
+    pub fn with_cold_rate(mut self, cold_rate: ColdRate) -> Self {
+        self.cold_rate = cold_rate.with_spread(self.decisions.cold_spread);
         self
     }
 
@@ -126,9 +133,14 @@
         self.start_waiting(now);
     }
 
-    /// Notes until when the target is slow after its start.
-    pub fn set_cold_until(&mut self, cold_until: Instant) {
-        self.cold_until = Some(cold_until);
+    /// Limits what the target gets while it may be cold.
+    pub fn cold_rate(&self) -> &ColdRate {
+        &self.cold_rate
+    }
+
+    /// The same, to note what is known of it.
+    pub fn cold_rate_mut(&mut self) -> &mut ColdRate {
+        &mut self.cold_rate
     }
 
     /// Takes a report of the target's pace.
@@ -146,6 +158,14 @@
         ((f64::from(self.slots) * FILLED_SHARE) as usize).max(1)
     }
 
+    /// Most requests that run at once at the rate that the target gets now.
+    pub fn limit_at(&self, now: Instant) -> usize {
+        let Some(interval) = self.cold_rate.interval(now) else { return self.limit() };
+        let run_time = self.at_pace(now, self.times.mean());
+        let at_once = run_time.div_duration_f64(interval) as usize;
+        at_once.clamp(1, self.limit())
+    }
+
     /// Requests that run.
     pub fn running(&self) -> usize {
         self.running.len()
@@ -172,7 +192,8 @@
         if let Some(on_time_left) = work.on_time_by.checked_duration_since(now) {
             self.times.assume(work.kind, on_time_left.mul_f64(ASSUMED_SHARE));
         }
-        let has_room = self.running.len() < self.limit();
+        let has_slot = self.running.len() < self.limit();
+        let has_room = has_slot && self.cold_rate.free_at(now).is_none();
         let is_passed_over = self.decisions.slow_passed_over && !work.may_wait;
         if has_room && is_passed_over && self.pace.at(now) >= SLOW_PACE {
             return self.refused(now, RefusedReason::Slow);
@@ -181,7 +202,8 @@
             return Offered::Run(self.start(now, work.kind));
         }
         if !work.may_wait {
-            return self.refused(now, RefusedReason::Full);
+            let reason = if has_slot { RefusedReason::Cold } else { RefusedReason::Full };
+            return self.refused(now, reason);
         }
         match self.fits(now, &work) {
             Ok(()) => Offered::Wait(self.waiting.insert(Waiting { work })),
@@ -239,6 +261,9 @@
             late_at.map_or(hopeless_at, |late_at| late_at.min(hopeless_at))
         };
         let next = self.waiting.values().map(loses_hope_at).min()?;
+        let has_slot = self.running.len() < self.limit();
+        let starts_at = self.cold_rate.free_at(now).filter(|_| has_slot);
+        let next = starts_at.map_or(next, |starts_at| starts_at.min(next));
         Some(next.max(now + LOOK_STEP))
     }
 
@@ -257,6 +282,7 @@
     }
 
     fn start(&mut self, now: Instant, kind: u64) -> RunningKey {
+        self.cold_rate.handed_over(now);
         self.running.insert(Running { kind, started_at: now, slowness: self.pace.at(now) })
     }
 
@@ -291,6 +317,7 @@
 
     fn wait_behind(&self, now: Instant, ahead: usize) -> Duration {
         let turn = self.pace.run_time(now, self.times.mean()).div_f64(self.limit() as f64);
+        let turn = self.cold_rate.interval(now).map_or(turn, |interval| interval.max(turn));
         turn.mul_f64((ahead + 1) as f64)
     }
 
@@ -314,15 +341,12 @@
     /// it is slow then.
     fn at_pace(&self, now: Instant, work: Duration) -> Duration {
         let time = self.pace.run_time(now, work);
-        match self.cold_until {
-            Some(until) if until > now => time.max(work.mul_f64(COLD_SLOWNESS)),
-            _ => time,
-        }
+        if self.cold_rate.is_cold(now) { time.max(work.mul_f64(COLD_SLOWNESS)) } else { time }
     }
 
     /// Starts waiting requests while there is room.
     fn start_waiting(&mut self, now: Instant) {
-        while self.running.len() < self.limit() {
+        while self.running.len() < self.limit() && self.cold_rate.free_at(now).is_none() {
             let Some(key) = self.next(now) else { return };
             let Some(waiting) = self.waiting.remove(key) else { return };
             let run = self.start(now, waiting.work.kind);
@@ -375,6 +399,8 @@
 
     fn refusal(&self, now: Instant, reason: RefusedReason) -> Refused {
         let drained = self.wait_behind(now, self.waiting.len());
+        // While it is cold most of its usual load is refused, and has room only after that.
+        let drained = drained.max(self.cold_rate.cold_for(now));
         Refused { reason, retry_after: drained.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX) }
     }
 }
--- a/crates/yuccarack_policy/src/work_queue/verdict.rs
+++ b/crates/yuccarack_policy/src/work_queue/verdict.rs
@@ -38,6 +38,8 @@
 pub enum RefusedReason {
     /// All slots that are filled are taken, and it may not wait.
     Full,
+    /// The target is cold and gets no more at this moment, and it may not wait.
+    Cold,
     /// The target is slow at this moment, and it may not wait.
     Slow,
     /// It would not be answered before its caller gives up.
@@ -53,6 +55,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Full => "full",
+            Self::Cold => "cold",
             Self::Slow => "slow",
             Self::CannotEndInTime => "cannot_end_in_time",
             Self::TooLate => "too_late",
--- /dev/null
+++ b/crates/yuccarack_policy/tests/cold_rate.rs
@@ -0,0 +1,270 @@
+//! Requests of a target that may be cold, whenever it becomes so.
+
+use std::time::{Duration, Instant};
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use yuccarack_policy::{
+    cold_rate::{ColdBound, ColdRate, WINDOW},
+    work_queue::{Offered, RefusedReason, RunEnd, Work, WorkQueue},
+};
+
+/// The second of the operators' rule.
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Requests that a cold target may get in a second in these tests.
+const MOST: usize = 29;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn bound() -> ColdBound {
+    ColdBound::new(14_000, 150, 8).expect("a bound")
+}
+
+fn limited(started_at: Instant) -> ColdRate {
+    let mut rate = ColdRate::new(started_at).with_spread(true);
+    rate.set_bound(Some(bound()));
+    rate
+}
+
+/// Most of `arrivals` within one second, whatever its phase.
+fn most_in_a_second(arrivals: &[Instant]) -> usize {
+    let from =
+        |first: Instant| arrivals.iter().filter(move |at| (first..first + SECOND).contains(*at));
+    arrivals.iter().map(|first| from(*first).count()).max().unwrap_or(0)
+}
+
+/// A load on a target that becomes cold now and then.
+#[derive(Clone, Debug)]
+struct Load {
+    /// Requests in each 100 ms.
+    offered: Vec<u8>,
+    /// Tenths of a second in which the target becomes cold, each for three seconds.
+    cold_from: Vec<u8>,
+    /// Time of each request from the decision to the target, in ms.
+    on_the_way_ms: Vec<u8>,
+    /// Tenths of a second at the begin of which the daemon stands still for 130 ms, three apart at least.
+    stalls: Vec<u8>,
+    /// Time that a look at the target takes, in ms.
+    look_ms: u8,
+    is_spread: bool,
+}
+
+impl Arbitrary for Load {
+    fn arbitrary(gen_: &mut Gen) -> Self {
+        let some = |gen_: &mut Gen, most: u8, count: usize| {
+            (0..count).map(|_| u8::arbitrary(gen_) % most).collect::<Vec<_>>()
+        };
+        Self {
+            offered: some(gen_, 30, 100),
+            cold_from: some(gen_, 100, 3),
+            on_the_way_ms: some(gen_, 20, 64),
+            stalls: some(gen_, 33, 5).into_iter().map(|third| third * 3).collect(),
+            look_ms: u8::arbitrary(gen_) % 100,
+            is_spread: bool::arbitrary(gen_),
+        }
+    }
+}
+
+impl Load {
+    fn is_cold(&self, at_ms: u64) -> bool {
+        let from = self.cold_from.iter().map(|tenth| u64::from(*tenth) * 100);
+        from.clone().any(|from| (from..from + 3_000).contains(&at_ms))
+    }
+
+    /// End of the time for which the daemon stands still at `at_ms`, if it does.
+    fn stalled_until(&self, at_ms: u64) -> Option<u64> {
+        let from = self.stalls.iter().map(|tenth| u64::from(*tenth) * 100);
+        from.filter(|from| (*from..from + 130).contains(&at_ms)).map(|from| from + 130).max()
+    }
+
+    /// When requests reach the target while it is cold.
+    fn play(&self) -> Vec<Instant> {
+        let start = Instant::now();
+        // Warm-up of this process is over when the load begins.
+        let mut rate =
+            limited(start.checked_sub(WINDOW).expect("a machine that is up for seconds"));
+        rate = rate.with_spread(self.is_spread);
+        let (mut arrivals, mut look, mut sent) = (Vec::new(), None, 0);
+        for at_ms in 0..10_000 {
+            let now = start + ms(at_ms);
+            if self.stalled_until(at_ms).is_some() {
+                continue;
+            }
+            if let Some((asked_ms, told_ms)) = look
+                && told_ms <= at_ms
+            {
+                look = None;
+                match self.is_cold(asked_ms) {
+                    true => rate.set_cold_until(now + ms(500)),
+                    false => rate.set_warm(start + ms(asked_ms)),
+                }
+            }
+            if look.is_none() && rate.look_due_at(now).is_some_and(|due_at| due_at <= now) {
+                rate.looked(now);
+                look = Some((at_ms, at_ms + u64::from(self.look_ms)));
+            }
+            let offered = u64::from(self.offered[at_ms as usize / 100]);
+            let is_offered = at_ms * offered / 100 != (at_ms + 1) * offered / 100;
+            if is_offered && rate.free_at(now).is_none() {
+                rate.handed_over(now);
+                let arrives_ms = at_ms + u64::from(self.on_the_way_ms[sent % 64]);
+                let arrives_ms = self.stalled_until(arrives_ms).unwrap_or(arrives_ms);
+                sent += 1;
+                if self.is_cold(arrives_ms) {
+                    arrivals.push(start + ms(arrives_ms));
+                }
+            }
+        }
+        arrivals
+    }
+}
+
+quickcheck! {
+    /// Guards against a target that crashes because its gate learns late that it is cold.
+    fn a_cold_target_gets_no_more_than_the_bound_whenever_it_becomes_cold(load: Load) -> bool {
+        most_in_a_second(&load.play()) <= MOST
+    }
+}
+
+/// Guards against bounds that are rounded up, and against a rate that operators left out.
+#[test]
+fn a_bound_is_what_operators_allow_and_none_without_a_rate() {
+    assert_eq!(bound().requests(), MOST);
+    assert_eq!(ColdBound::new(0, 150, 8), None);
+    assert_eq!(ColdBound::new(1, 0, 0).map(ColdBound::requests), Some(1));
+    assert_eq!(ColdBound::new(2_500, 100, 0).map(ColdBound::requests), Some(2));
+    assert!(ColdBound::new(u32::MAX, u32::MAX, u32::MAX).is_some());
+}
+
+/// Guards against a warm target that is held back: a look proves that it is warm.
+#[test]
+fn a_warm_target_gets_all_that_comes_while_looks_say_so() {
+    let start = Instant::now();
+    let mut rate = limited(start);
+    rate.set_warm(start + ms(1));
+    for number in 0..1_000 {
+        let now = start + ms(2 + number * 5);
+        if rate.look_due_at(now).is_some_and(|due_at| due_at <= now) {
+            rate.looked(now);
+            rate.set_warm(now);
+        }
+        assert_eq!(rate.free_at(now), None, "request {number}");
+        rate.handed_over(now);
+    }
+}
+
+/// Guards against a daemon that is killed and starts again at once, whose target gets what two processes
+/// allow in one second.
+#[test]
+fn a_process_that_has_just_started_allows_nothing_until_it_knows_the_target() {
+    let start = Instant::now();
+    let mut rate = limited(start);
+    assert_eq!(rate.free_at(start + ms(1)), Some(start + WINDOW));
+    assert!(rate.look_due_at(start + ms(1)).is_some());
+    rate.set_cold_until(start + ms(3_000));
+    assert_eq!(rate.free_at(start + ms(1)), Some(start + WINDOW));
+    assert_eq!(rate.free_at(start + WINDOW), None);
+    rate.set_warm(start + ms(2));
+    assert_eq!(rate.free_at(start + ms(3)), None);
+}
+
+/// Guards against a heartbeat that was long on its way and ends a cold time that a look has told.
+#[test]
+fn a_heartbeat_never_ends_a_cold_time() {
+    let now = Instant::now();
+    let mut rate = limited(now);
+    rate.set_cold_until(now + ms(2_000));
+    rate.extend_cold_until(now);
+    assert!(rate.is_cold(now + ms(1_999)));
+}
+
+/// Work that takes long and may wait for two seconds.
+fn work(now: Instant, rank: u8) -> Work {
+    Work {
+        kind: rank.into(),
+        rank,
+        on_time_by: now + ms(500),
+        give_up_by: now + ms(2_000),
+        may_wait: true,
+    }
+}
+
+fn cold_queue(start: Instant) -> WorkQueue {
+    let mut rate = limited(start);
+    rate.set_warm(start + ms(1));
+    rate.set_cold_until(start + ms(3_000));
+    WorkQueue::new(18).with_decisions(Default::default()).with_cold_rate(rate)
+}
+
+/// Guards against urgent requests that wait for the rest of a second because others took all that a cold
+/// target may get in its first tenths.
+#[test]
+fn an_urgent_request_is_served_in_time_at_a_cold_target_that_is_pressed() {
+    let start = Instant::now();
+    let mut queue = cold_queue(start);
+    let (mut ran, mut lost) = (0, 0);
+    let mut urgent_waits = Vec::new();
+    for at_ms in 0..2_500 {
+        let now = start + ms(at_ms);
+        let settled = queue.poll(now);
+        for one in settled {
+            if let yuccarack_policy::work_queue::Settled::Run(waiting, run) = one {
+                urgent_waits.retain(|(key, since): &(_, Instant)| {
+                    let is_it = *key == waiting;
+                    assert!(!is_it || now.duration_since(*since) <= ms(200), "waited for too long");
+                    !is_it
+                });
+                queue.release(now, run, RunEnd::Other);
+                ran += 1;
+            }
+        }
+        if at_ms % 16 == 0 {
+            match queue.offer(now, work(now, 2)) {
+                Offered::Run(run) => queue.release(now, run, RunEnd::Other),
+                Offered::Wait(_) | Offered::Refused(_) => {}
+            }
+        }
+        if at_ms % 100 == 50 {
+            match queue.offer(now, work(now, 0)) {
+                Offered::Run(run) => queue.release(now, run, RunEnd::Other),
+                Offered::Wait(key) => urgent_waits.push((key, now)),
+                Offered::Refused(_) => lost += 1,
+            }
+        }
+    }
+    assert_eq!(lost, 0);
+    assert!(ran > 10, "{ran} ran after a wait");
+}
+
+/// Guards against requests that are held at a cold target until they are late, or sent away with a time at
+/// which it still has no room.
+#[test]
+fn what_a_cold_target_can_not_take_goes_on_at_once_or_comes_back_when_it_is_warm() {
+    let start = Instant::now();
+    let mut queue = cold_queue(start);
+    for _ in 0..4 {
+        assert!(matches!(queue.offer(start, work(start, 1)), Offered::Run(_)));
+    }
+    let elsewhere = Work { may_wait: false, ..work(start, 1) };
+    let Offered::Refused(refused) = queue.offer(start, elsewhere) else { panic!("let in") };
+    assert_eq!(refused.reason, RefusedReason::Cold);
+    let waiting =
+        (0..100).filter(|_| matches!(queue.offer(start, work(start, 1)), Offered::Wait(_)));
+    let waiting = waiting.count();
+    // Those that start within half a second at 25 a second.
+    assert!((1..=13).contains(&waiting), "{waiting} wait");
+    let Offered::Refused(refused) = queue.offer(start, work(start, 1)) else { panic!("let in") };
+    assert!(refused.retry_after >= ms(2_000), "{:?}", refused.retry_after);
+}
+
+/// Guards against entries that take a cold target for an idle one because few requests run there.
+#[test]
+fn a_cold_target_tells_how_many_it_runs_at_its_rate() {
+    let start = Instant::now();
+    let queue = cold_queue(start);
+    // 25 a second, each of 100 ms that takes twice as long while the target is cold.
+    assert_eq!(queue.limit_at(start), 5);
+    assert_eq!(queue.limit_at(start + ms(3_001)), queue.limit());
+}
--- a/crates/yuccarack_policy/tests/work_queue.rs
+++ b/crates/yuccarack_policy/tests/work_queue.rs
@@ -76,7 +76,7 @@
 fn the_pace_that_a_cold_target_tells_is_not_counted_twice() {
     let now = Instant::now();
     let (mut queue, _) = filled(now);
-    queue.set_cold_until(now + ms(3_000));
+    queue.cold_rate_mut().set_cold_until(now + ms(3_000));
     queue.pace_reported(now, 2.0);
     let urgent = Work { on_time_by: now + ms(350), give_up_by: now + ms(400), ..work(now, READ) };
     assert!(matches!(queue.offer(now, urgent), Offered::Wait(_)));
@@ -87,7 +87,7 @@
 fn a_cold_target_counts_as_slow_before_it_tells_its_pace() {
     let now = Instant::now();
     let (mut queue, _) = filled(now);
-    queue.set_cold_until(now + ms(3_000));
+    queue.cold_rate_mut().set_cold_until(now + ms(3_000));
     let urgent = Work { on_time_by: now + ms(150), give_up_by: now + ms(200), ..work(now, READ) };
     let Offered::Refused(refused) = queue.offer(now, urgent) else { panic!("let in") };
     assert_eq!(refused.reason, RefusedReason::CannotEndInTime);
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -4,7 +4,7 @@
 mod door;
 mod exchange;
 mod kept;
-mod pace_looks;
+mod looks;
 mod work;
 mod work_slots;
 
@@ -21,7 +21,11 @@
 use tokio::time::sleep;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use yuccarack_config::{decisions::Decisions, heartbeat::TargetPhase};
-use yuccarack_policy::{placement::GateLoad, work_queue::Refused};
+use yuccarack_policy::{
+    cold_rate::{ColdBound, ColdRate},
+    placement::GateLoad,
+    work_queue::Refused,
+};
 
 pub use self::{
     crashes::{Crashes, CrashesParts},
@@ -43,6 +47,7 @@
     state::{
         counters::Counters,
         routed::{
+            live_settings::LiveSettings,
             metrics::Metrics,
             routing_state::RoutingState,
             target::{RoutedTarget, TargetView},
@@ -72,6 +77,8 @@
     pub target: RoutedTarget,
     /// The routing table in force.
     pub routing: RoutingState,
+    /// The settings.
+    pub settings: LiveSettings,
     /// Deaths of targets.
     pub crashes: Crashes,
     /// Connections to the target.
@@ -96,6 +103,7 @@
     /// Connections for looks alone: what a target sends too much on those of requests, or in answer
     /// to a look, reaches no other one.
     look_upstream: Upstream,
+    started_at: Instant,
     open: RwLock<Option<Arc<OpenTarget>>>,
 }
 
@@ -112,22 +120,25 @@
     /// Makes a gate that knows no target yet.
     pub fn new(parts: GateParts) -> Self {
         let look_upstream = Upstream::new(parts.background.clone());
-        Self { parts, look_upstream, open: RwLock::new(None) }
+        Self { parts, look_upstream, started_at: Instant::now(), open: RwLock::new(None) }
     }
 
     /// Follows what the target says until `stop`.
     pub async fn follow(self: Arc<Self>, stop: CancellationToken) {
         let mut changes = self.parts.target.subscribe();
+        let mut routing = self.parts.routing.subscribe();
         loop {
             let view = changes.borrow_and_update().clone();
-            let taken_in = self.take(view).filter(|_| self.parts.decisions.pace_looks);
-            if let Some(open) = taken_in {
-                self.parts.background.spawn(pace_looks::run(Arc::clone(&self), open));
+            routing.borrow_and_update();
+            if let Some(open) = self.take(view) {
+                self.parts.background.spawn(looks::run(Arc::clone(&self), open));
             }
+            self.follow_cold_bound();
             tokio::select! {
                 () = stop.cancelled() => break,
                 () = self.parts.leaving.cancelled() => break,
                 changed = changes.changed() => if changed.is_err() { break },
+                changed = routing.changed() => if changed.is_err() { break },
             }
         }
         // Whatever waits goes elsewhere; what runs ends by itself.
@@ -257,20 +268,25 @@
             old.slots.change(|queue, now| {
                 queue.stay();
                 queue.set_slots(now, view.slots);
+                queue.cold_rate_mut().extend_cold_until(view.cold_until);
             });
             return None;
         }
+        let mut cold_rate = ColdRate::new(self.started_at);
         if let Some(old) = open.take() {
             old.slots.change(|queue, now| queue.leave(now));
+            // A target that starts again at the same address is the same one to the operators' bound.
+            cold_rate = old.slots.read(|queue| queue.cold_rate().clone());
             old.stop.cancel();
         }
+        cold_rate.extend_cold_until(view.cold_until);
         self.parts.events.write(|| TargetTakenIn {
             target: view.target.clone(),
             service: view.service.clone(),
             life: view.life,
             slots: view.slots,
         });
-        let taken_in = Arc::new(self.open_target(view));
+        let taken_in = Arc::new(self.open_target(view, cold_rate));
         *open = Some(Arc::clone(&taken_in));
         Some(taken_in)
     }
@@ -281,9 +297,18 @@
         routing.service(&open.view.service).map(|service| service.load_path.clone())
     }
 
-    fn open_target(&self, view: Arc<TargetView>) -> OpenTarget {
-        let slots = WorkSlots::new(view.slots, self.parts.decisions);
-        slots.change(|queue, _| queue.set_cold_until(view.cold_until));
+    /// Takes over what the routing table says of cold targets of the service.
+    fn follow_cold_bound(&self) {
+        let Some(open) = self.open.read().clone() else { return };
+        let Some(routing) = self.parts.routing.current() else { return };
+        let rate = routing.service(&open.view.service).map_or(0, |it| it.cold_rate_per_1000_s);
+        let bounds = &self.parts.settings.current().bounds;
+        let bound = ColdBound::new(rate, bounds.cold_excess_percent, bounds.cold_slack);
+        open.slots.change(|queue, _| queue.cold_rate_mut().set_bound(bound));
+    }
+
+    fn open_target(&self, view: Arc<TargetView>, cold_rate: ColdRate) -> OpenTarget {
+        let slots = WorkSlots::new(view.slots, cold_rate, self.parts.decisions);
         let stop = CancellationToken::new();
         self.parts.background.spawn(slots.clone().run_clock(stop.clone()));
         OpenTarget {
--- a/crates/yuccarackd/src/coordination/routed/gate/work_slots.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/work_slots.rs
@@ -7,6 +7,7 @@
 use tokio_util::sync::CancellationToken;
 use yuccarack_config::decisions::Decisions;
 use yuccarack_policy::{
+    cold_rate::ColdRate,
     placement::GateLoad,
     work_queue::{
         Offered, Refused, RefusedReason, RunEnd, RunningKey, Settled, WaitingKey, Work, WorkQueue,
@@ -31,6 +32,8 @@
     changed: Notify,
     /// Wakes who waits for work to begin.
     started: Notify,
+    /// Wakes who asks the target whether it is cold.
+    look_wanted: Notify,
 }
 
 struct State {
@@ -40,14 +43,15 @@
 
 impl WorkSlots {
     /// Makes the slots of a target that runs `slots` at once.
-    pub fn new(slots: u16, decisions: Decisions) -> Self {
-        let queue = WorkQueue::new(slots).with_decisions(decisions);
+    pub fn new(slots: u16, cold_rate: ColdRate, decisions: Decisions) -> Self {
+        let queue = WorkQueue::new(slots).with_decisions(decisions).with_cold_rate(cold_rate);
         let state = State { queue, waiting: HashMap::new() };
         Self {
             shared: Arc::new(Shared {
                 state: Mutex::new(state),
                 changed: Notify::new(),
                 started: Notify::new(),
+                look_wanted: Notify::new(),
             }),
         }
     }
@@ -58,6 +62,7 @@
         let now = Instant::now();
         let result = change(&mut state.queue, now);
         state.settle(now);
+        self.shared.note_look(&state.queue);
         result
     }
 
@@ -72,6 +77,7 @@
             match state.queue.offer(Instant::now(), work) {
                 Offered::Run(key) => {
                     self.shared.started.notify_waiters();
+                    self.shared.note_look(&state.queue);
                     return Ok(WorkLease::new(self.clone(), key));
                 }
                 Offered::Refused(refused) => return Err(refused),
@@ -89,13 +95,13 @@
     /// The load as other daemons are told.
     pub fn load(&self) -> GateLoad {
         let state = self.shared.state.lock();
-        let queue = &state.queue;
+        let (queue, now) = (&state.queue, Instant::now());
         GateLoad {
             running: saturate(queue.running()),
             waiting: saturate(queue.waiting()),
-            limit: saturate(queue.limit()),
+            limit: saturate(queue.limit_at(now)),
             mean_work: queue.mean_work(),
-            slowness: queue.pace().at(Instant::now()),
+            slowness: queue.pace().at(now),
         }
     }
 
@@ -109,6 +115,11 @@
         self.shared.started.notified()
     }
 
+    /// Waits until the target is to be asked whether it is cold.
+    pub fn look_wanted(&self) -> Notified<'_> {
+        self.shared.look_wanted.notified()
+    }
+
     /// Requests that run.
     pub fn running(&self) -> usize {
         self.shared.state.lock().queue.running()
@@ -128,6 +139,15 @@
     }
 }
 
+impl Shared {
+    fn note_look(&self, queue: &WorkQueue) {
+        let now = Instant::now();
+        if queue.cold_rate().look_due_at(now).is_some_and(|due_at| due_at <= now) {
+            self.look_wanted.notify_one();
+        }
+    }
+}
+
 impl State {
     /// A slot that its waiter didn't take is free again, so it settles until nothing changes.
     fn settle(&mut self, now: Instant) {
--- a/crates/yuccarackd/src/daemon/routed/wiring.rs
+++ b/crates/yuccarackd/src/daemon/routed/wiring.rs
@@ -64,6 +64,7 @@
         let gate = Arc::new(Gate::new(GateParts {
             target: self.target.clone(),
             routing: self.routing.clone(),
+            settings: self.settings.clone(),
             crashes: Crashes::new(CrashesParts {
                 settings: self.settings.clone(),
                 members: self.members.clone(),
--- a/crates/yuccarackd/src/protocol/refusal.rs
+++ b/crates/yuccarackd/src/protocol/refusal.rs
@@ -100,7 +100,7 @@
 
 impl Reason {
     /// Reasons that a gate gives for a routed request.
-    const TOLD_BY_GATES: [Self; 16] = [
+    const TOLD_BY_GATES: [Self; 17] = [
         Self::BadRequest,
         Self::NotReady,
         Self::Draining,
@@ -114,6 +114,7 @@
         Self::Quarantined,
         Self::Admission(RefusedReason::Full.as_str()),
         Self::Admission(RefusedReason::Slow.as_str()),
+        Self::Admission(RefusedReason::Cold.as_str()),
         Self::Admission(RefusedReason::CannotEndInTime.as_str()),
         Self::Admission(RefusedReason::TooLate.as_str()),
         Self::Admission(RefusedReason::Leaving.as_str()),
--- a/crates/yuccarackd/src/state/routed/live_settings.rs
+++ b/crates/yuccarackd/src/state/routed/live_settings.rs
@@ -46,6 +46,7 @@
         }
         let new = RoutedSettings {
             service: read.service.clone(),
+            regions: read.regions.clone(),
             routing_file: read.routing_file.clone(),
             bounds: read.bounds.clone(),
             is_first_start: read.is_first_start,
--- a/crates/yuccarackd/src/state/routed/target.rs
+++ b/crates/yuccarackd/src/state/routed/target.rs
@@ -65,6 +65,9 @@
 /// heartbeats of today's targets.
 const SILENCE_MIN: Duration = Duration::from_millis(4_500);
 
+/// Time by which two heartbeats may differ in the end of one cold time, for their time on the way.
+const COLD_JITTER: Duration = Duration::from_millis(250);
+
 /// The target as it stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetView {
@@ -80,7 +83,9 @@
     pub slots: u16,
     /// Whether it takes work.
     pub phase: TargetPhase,
-    /// Until when it is slow after its start.
+    /// Whether it is cold by its latest word.
+    pub is_cold: bool,
+    /// Until when it is cold, as it was or will be.
     pub cold_until: Instant,
 }
 
@@ -166,7 +171,8 @@
         }
         let view = TargetView::new(now, heartbeat);
         let old = self.current();
-        let is_same = old.is_some_and(|old| old.is_same_but_for_cold(&view));
+        let is_same =
+            old.is_some_and(|old| old.is_same_but_for_cold(&view) && !old.is_cold_anew(&view));
         if heard == Heard::Same && is_same {
             return Heard::Same;
         }
@@ -274,6 +280,7 @@
             address: heartbeat.address,
             slots: heartbeat.slots.max(1),
             phase: heartbeat.phase,
+            is_cold: !cold_for.is_zero(),
             cold_until: now + cold_for,
         }
     }
@@ -283,7 +290,12 @@
         self.life == other.life && self.target == other.target
     }
 
+    /// Whether `later` tells of a cold time that isn't known.
+    fn is_cold_anew(&self, later: &Self) -> bool {
+        later.is_cold && later.cold_until > self.cold_until + COLD_JITTER
+    }
+
     fn is_same_but_for_cold(&self, other: &Self) -> bool {
-        Self { cold_until: other.cold_until, ..self.clone() } == *other
+        Self { is_cold: other.is_cold, cold_until: other.cold_until, ..self.clone() } == *other
     }
 }
--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod at_most_once;
+mod cold;
 mod crashing;
 mod explained;
 mod large_tables;
--- a/crates/yuccarackd/tests/support/tables.rs
+++ b/crates/yuccarackd/tests/support/tables.rs
@@ -21,6 +21,7 @@
         on_time_ms: 300,
         targets_max: 2,
         rank: 1,
+        home_regions: Vec::new(),
     }
 }
 
@@ -30,6 +31,7 @@
         name: "board".to_owned(),
         load_path: "/health".to_owned(),
         connections_max: 240,
+        cold_rate_per_1000_s: 0,
     };
     RoutingTable {
         version,
