Operators can evacuate a failure domain

Cause: daemons read the row of the routes alone; nobody knew the rows evacuate/DOMAIN beside it. Ruled out: a row of our own or a second table to follow; the rows come with the same questions to the store as the routes.

Change: the follower takes these rows in, relays and peers tell all of them with any news, the latest revision of a domain counts, and a whole reading ends what it doesn't list. Entries choose no gate of an evacuated domain, its gates refuse with the reason evacuated, what waits there is sent on, what runs ends.

--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -45,8 +45,8 @@
     state::{
         counters::Counters,
         routed::{
-            live_settings::LiveSettings, members::Members, metrics::Metrics,
-            routing_state::RoutingState,
+            evacuations::Evacuations, live_settings::LiveSettings, members::Members,
+            metrics::Metrics, routing_state::RoutingState,
         },
     },
     transport::{
@@ -79,6 +79,8 @@
     pub routing: RoutingState,
     /// All members.
     pub members: Members,
+    /// Failure domains that are evacuated.
+    pub evacuations: Evacuations,
     /// The gate beside this entry.
     pub gate: Arc<Gate>,
     /// News of other daemons.
@@ -272,7 +274,8 @@
     }
 
     fn service(&self, name: &str) -> Arc<RoutedService> {
-        let generation = self.parts.members.generation();
+        // Both only rise, and so does their sum with each change of either.
+        let generation = self.parts.members.generation() + self.parts.evacuations.generation();
         let mut services = self.services.lock();
         let service = match services.get(name) {
             Some(service) => Arc::clone(service),
@@ -286,7 +289,8 @@
         };
         drop(services);
         if !service.has_followed(generation) {
-            let members = self.parts.members.of_service(name);
+            let mut members = self.parts.members.of_service(name);
+            members.retain(|it| !self.parts.evacuations.is_evacuated(&it.failure_domain));
             let home = &self.parts.settings.current().failure_domain;
             let entries = self.parts.members.count();
             service.follow(generation, Followed { home, members, entries });
--- a/crates/yuccarackd/src/coordination/routed/follow.rs
+++ b/crates/yuccarackd/src/coordination/routed/follow.rs
@@ -6,23 +6,24 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 use yuccarack_config::routing::RoutingVersion;
-use yuccarack_platform::feed::{FeedError, FeedRow};
+use yuccarack_platform::feed::{FeedError, FeedRow, FeedRows};
 use yuccarack_platform_wire::routing::{self, Substitute};
 
 use super::{
     events::EventLog,
     lines::{
-        MemberChanged, MemberKeptOut, RoutingInForce, RoutingKeptOut, RoutingNotRead,
-        RoutingSubstituted, StoreLost, StoreRegained,
+        EvacuationChanged, MemberChanged, MemberKeptOut, RoutingInForce, RoutingKeptOut,
+        RoutingNotRead, RoutingSubstituted, StoreLost, StoreRegained,
     },
     store_client::StoreClient,
 };
 use crate::{
     coordination::jitter::jittered,
-    protocol::peer_news::RoutedMember,
+    protocol::peer_news::{DatedEvacuation, RoutedMember},
     state::{
         counters::Counters,
         routed::{
+            evacuations::Evacuations,
             members::Members,
             news_source::{Followed, News, NewsSource},
             routing_state::RoutingState,
@@ -88,6 +89,8 @@
     pub routing: RoutingState,
     /// All members.
     pub members: Members,
+    /// Failure domains that are evacuated.
+    pub evacuations: Evacuations,
     /// Counters.
     pub counters: Counters,
     /// Log lines.
@@ -181,7 +184,7 @@
         let started_at = Instant::now();
         let transfer = self.transfers.begin();
         match self.store.read(routing::TABLE, |bytes| transfer.note(bytes)).await {
-            Ok(all) => all.rows.into_iter().for_each(|row| self.take_routing(row)),
+            Ok(all) => self.take_all_routing(all),
             Err(error) => {
                 self.counters.add("store.failures");
                 let cause = error.to_string();
@@ -252,14 +255,12 @@
         };
         let Some(after) = self.news.known_up_to(what) else {
             let all = self.store.read(table(what), on_bytes).await?;
-            let listed = all.rows.iter().map(|row| row.key.clone()).collect::<Vec<_>>();
-            all.rows.into_iter().for_each(|row| self.take(what, row));
-            if what == Followed::Members {
-                self.members.drop_unlisted(all.revision, &listed);
-                self.news.set_members_listed(all.revision);
-                self.members.set_read();
+            let revision = all.revision;
+            match what {
+                Followed::Routing => self.take_all_routing(all),
+                Followed::Members => self.take_all_members(all),
             }
-            self.news.set_known(what, Some(all.revision));
+            self.news.set_known(what, Some(revision));
             return Ok(what == Followed::Members);
         };
         let changes = self.store.changes(table(what), after, wait, on_bytes).await?;
@@ -276,7 +277,37 @@
         }
     }
 
+    fn take_all_members(&self, all: FeedRows) {
+        let listed: Vec<_> = all.rows.iter().map(|row| row.key.clone()).collect();
+        all.rows.into_iter().for_each(|row| self.take_member(row));
+        self.members.drop_unlisted(all.revision, &listed);
+        self.news.set_members_listed(all.revision);
+        self.members.set_read();
+    }
+
+    /// Takes in all that operators have written; evacuations that aren't listed were taken back.
+    fn take_all_routing(&self, all: FeedRows) {
+        let domains = all.rows.iter().filter_map(|row| routing::evacuated_domain(&row.key));
+        let listed: Vec<_> = domains.map(str::to_owned).collect();
+        all.rows.into_iter().for_each(|row| self.take_routing(row));
+        for gone in self.evacuations.unlisted(all.revision, &listed) {
+            self.take_evacuation(gone);
+        }
+    }
+
+    fn take_evacuation(&self, dated: DatedEvacuation) {
+        if self.evacuations.merge(&dated) {
+            self.events.write(|| EvacuationChanged::new(dated, STORE.to_owned()));
+        }
+    }
+
     fn take_routing(&self, row: FeedRow) {
+        if let Some(domain) = routing::evacuated_domain(&row.key) {
+            let failure_domain = domain.to_owned();
+            let (revision, is_evacuated) = (row.revision, row.value.is_some());
+            self.take_evacuation(DatedEvacuation { failure_domain, revision, is_evacuated });
+            return;
+        }
         let Some(text) = row.value.filter(|_| row.key == routing::KEY) else { return };
         match routing::decode(&text) {
             Ok(document) => {
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -47,6 +47,7 @@
     state::{
         counters::Counters,
         routed::{
+            evacuations::Evacuations,
             live_settings::LiveSettings,
             metrics::Metrics,
             routing_state::RoutingState,
@@ -77,6 +78,8 @@
     pub target: RoutedTarget,
     /// The routing table in force.
     pub routing: RoutingState,
+    /// Failure domains that are evacuated.
+    pub evacuations: Evacuations,
     /// The settings.
     pub settings: LiveSettings,
     /// Deaths of targets.
@@ -126,9 +129,11 @@
     /// Follows what the target says until `stop`.
     pub async fn follow(self: Arc<Self>, stop: CancellationToken) {
         let mut changes = self.parts.target.subscribe();
+        let mut evacuations = self.parts.evacuations.subscribe();
         let mut routing = self.parts.routing.subscribe();
         loop {
             let view = changes.borrow_and_update().clone();
+            evacuations.borrow_and_update();
             routing.borrow_and_update();
             if let Some(open) = self.take(view) {
                 self.parts.background.spawn(looks::run(Arc::clone(&self), open));
@@ -138,6 +143,7 @@
                 () = stop.cancelled() => break,
                 () = self.parts.leaving.cancelled() => break,
                 changed = changes.changed() => if changed.is_err() { break },
+                changed = evacuations.changed() => if changed.is_err() { break },
                 changed = routing.changed() => if changed.is_err() { break },
             }
         }
@@ -187,7 +193,7 @@
         let queued = offered_at.elapsed();
         work.queued = Some(queued);
         self.parts.metrics.queued(queued);
-        // The target may have said meanwhile that it leaves.
+        // The target may have said meanwhile that it leaves, or operators that it is to get nothing.
         self.check_open(&open)?;
         let handed_over_at = Instant::now();
         let answer = Exchange { gate: self, open: &open, lease }.run(work).await;
@@ -209,6 +215,9 @@
         }
         let open = self.open.read().clone().ok_or_else(|| away(Reason::NotReady))?;
         self.check_open(&open)?;
+        if self.is_evacuated() {
+            return Err(away(Reason::Evacuated));
+        }
         if open.view.service != work.hop.service {
             return Err(away(Reason::OtherService));
         }
@@ -224,6 +233,9 @@
             Some(view) if view.phase == TargetPhase::Draining => return away(Reason::Draining),
             Some(_) => {}
         }
+        if self.is_evacuated() {
+            return away(Reason::Evacuated);
+        }
         if open.is_unreachable.load(Ordering::Acquire) {
             return away(Reason::Unreachable);
         }
@@ -258,7 +270,9 @@
     /// Takes in what the target says; returns a target that is new.
     fn take(&self, view: Option<Arc<TargetView>>) -> Option<Arc<OpenTarget>> {
         let mut open = self.open.write();
-        let Some(view) = view.filter(|view| view.phase == TargetPhase::Ready) else {
+        let takes_work =
+            |view: &Arc<TargetView>| view.phase == TargetPhase::Ready && !self.is_evacuated();
+        let Some(view) = view.filter(takes_work) else {
             if let Some(old) = open.as_ref() {
                 old.slots.change(|queue, now| queue.leave(now));
             }
@@ -297,6 +311,11 @@
         routing.service(&open.view.service).map(|service| service.load_path.clone())
     }
 
+    /// Whether operators want the targets of this failure domain to get nothing.
+    fn is_evacuated(&self) -> bool {
+        self.parts.evacuations.is_evacuated(&self.parts.settings.current().failure_domain)
+    }
+
     /// Takes over what the routing table says of cold targets of the service.
     fn follow_cold_bound(&self) {
         let Some(open) = self.open.read().clone() else { return };
--- a/crates/yuccarackd/src/coordination/routed/lines/news.rs
+++ b/crates/yuccarackd/src/coordination/routed/lines/news.rs
@@ -2,9 +2,22 @@
 
 use yuccarack_config::{ids::Revision, routing::RoutingVersion};
 
-use crate::coordination::routed::events::EventKind;
+use crate::{coordination::routed::events::EventKind, protocol::peer_news::DatedEvacuation};
 
 log_lines! {
+    /// A failure domain is evacuated, or no longer.
+    EvacuationChanged = "evacuation_changed", "evacuation changed", Info, None;
+    {
+        /// The failure domain.
+        failure_domain: String,
+        /// Whether its targets get nothing.
+        is_evacuated: bool,
+        /// Revision that says so.
+        revision: Revision,
+        /// The store, or the daemon that told.
+        from: String,
+    }
+
     /// Another instance serves something else.
     MemberChanged = "member_changed", "member changed", Info, Some(EventKind::MemberChanged);
     {
@@ -178,3 +191,11 @@
         cause: String,
     }
 }
+
+impl EvacuationChanged {
+    /// The line of `dated`, which came `from` the store or another daemon.
+    pub fn new(dated: DatedEvacuation, from: String) -> Self {
+        let DatedEvacuation { failure_domain, revision, is_evacuated } = dated;
+        Self { failure_domain, is_evacuated, revision, from }
+    }
+}
--- a/crates/yuccarackd/src/coordination/routed/peers/intake.rs
+++ b/crates/yuccarackd/src/coordination/routed/peers/intake.rs
@@ -9,7 +9,7 @@
 use crate::{
     coordination::routed::{
         follow::whole_ms,
-        lines::{MemberChanged, RoutingChangesRejected, RoutingInForce},
+        lines::{EvacuationChanged, MemberChanged, RoutingChangesRejected, RoutingInForce},
     },
     protocol::{
         packed_changes::{PackError, PackedChanges},
@@ -44,6 +44,11 @@
                 parts.events.write(|| RoutingInForce { version, revision: None, from, behind_ms });
             }
         }
+        for dated in news.evacuations {
+            if parts.evacuations.merge(&dated) {
+                parts.events.write(|| EvacuationChanged::new(dated, address.to_string()));
+            }
+        }
         for dated in news.members {
             let DatedMember { instance, revision, member } = dated;
             let service = member.as_ref().and_then(|member| member.service.clone());
--- a/crates/yuccarackd/src/coordination/routed/peers/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/peers/mod.rs
@@ -38,6 +38,7 @@
     state::{
         counters::Counters,
         routed::{
+            evacuations::Evacuations,
             members::Members,
             news_source::{Followed, News, NewsSource},
             routing_state::RoutingState,
@@ -107,6 +108,8 @@
     pub routing: RoutingState,
     /// All members.
     pub members: Members,
+    /// Failure domains that are evacuated.
+    pub evacuations: Evacuations,
     /// Who tells this daemon of changes.
     pub news: News,
     /// Transfers of the routing table.
@@ -247,6 +250,7 @@
             changes: changes.map(|changes| PackedChanges::clone(&changes)),
             members: members.unwrap_or_default(),
             is_whole,
+            evacuations: parts.evacuations.all(),
             known,
         }
     }
--- a/crates/yuccarackd/src/daemon/routed.rs
+++ b/crates/yuccarackd/src/daemon/routed.rs
@@ -29,8 +29,8 @@
     state::{
         counters::Counters,
         routed::{
-            live_settings::LiveSettings, members::Members, metrics::Metrics,
-            routing_state::RoutingState, target::RoutedTarget,
+            evacuations::Evacuations, live_settings::LiveSettings, members::Members,
+            metrics::Metrics, routing_state::RoutingState, target::RoutedTarget,
         },
     },
     transport::upstream::Upstream,
@@ -97,6 +97,7 @@
             metrics: Metrics::new(counters.clone()),
             routing,
             members,
+            evacuations: Evacuations::new(),
             target: RoutedTarget::new(),
             upstream,
             counters,
--- a/crates/yuccarackd/src/daemon/routed/wiring.rs
+++ b/crates/yuccarackd/src/daemon/routed/wiring.rs
@@ -27,6 +27,7 @@
     state::{
         counters::Counters,
         routed::{
+            evacuations::Evacuations,
             live_settings::LiveSettings,
             members::Members,
             metrics::Metrics,
@@ -53,6 +54,7 @@
     pub(super) metrics: Metrics,
     pub(super) routing: RoutingState,
     pub(super) members: Members,
+    pub(super) evacuations: Evacuations,
     pub(super) target: RoutedTarget,
     pub(super) upstream: Upstream,
     pub(super) tasks: Tasks,
@@ -64,6 +66,7 @@
         let gate = Arc::new(Gate::new(GateParts {
             target: self.target.clone(),
             routing: self.routing.clone(),
+            evacuations: self.evacuations.clone(),
             settings: self.settings.clone(),
             crashes: Crashes::new(CrashesParts {
                 settings: self.settings.clone(),
@@ -97,6 +100,7 @@
             own_address: settings.gate_reached_at(),
             routing: self.routing.clone(),
             members: self.members.clone(),
+            evacuations: self.evacuations.clone(),
             news: news.clone(),
             transfers: transfers.clone(),
             leaving: self.stops.leaving.clone(),
@@ -110,6 +114,7 @@
             store: store.clone(),
             routing: self.routing.clone(),
             members: self.members.clone(),
+            evacuations: self.evacuations.clone(),
             counters: self.counters.clone(),
             events: self.events.clone(),
             news,
@@ -156,6 +161,16 @@
             "Time since a newer version than the one in force was known of; 0 without one.",
             move || i64::try_from(behind.behind_for().as_millis()).unwrap_or(i64::MAX),
         );
+        let (evacuations, own) = (self.evacuations.clone(), self.evacuations.clone());
+        let settings = self.settings.clone();
+        metrics.tell("domains_evacuated", "Failure domains that are evacuated.", move || {
+            count(evacuations.count())
+        });
+        metrics.tell(
+            "target_evacuated",
+            "Whether the own target gets nothing for that, 1 or 0.",
+            move || i64::from(own.is_evacuated(&settings.current().failure_domain)),
+        );
         metrics.tell("members", "Instances that are known.", move || count(members.count()));
         metrics.tell("target_ready", "Whether the own target takes work, 1 or 0.", move || {
             let ready = target.current().filter(|view| view.phase == TargetPhase::Ready);
@@ -252,6 +267,7 @@
             settings: self.settings.clone(),
             routing: self.routing.clone(),
             members: self.members.clone(),
+            evacuations: self.evacuations.clone(),
             gate,
             peers,
             upstream: self.upstream.clone(),
--- a/crates/yuccarackd/src/protocol/peer_news.rs
+++ b/crates/yuccarackd/src/protocol/peer_news.rs
@@ -157,6 +157,16 @@
         pub member: Option<RoutedMember>,
     }
 
+    /// Whether a failure domain is evacuated: nothing more is sent to its targets.
+    pub struct DatedEvacuation {
+        /// The failure domain.
+        pub failure_domain: DomainName,
+        /// Revision that evacuated it or took that back.
+        pub revision: Revision,
+        /// Whether it is evacuated.
+        pub is_evacuated: bool,
+    }
+
     /// Up to where the store's tables are known.
     pub struct KnownUpTo {
         /// Revision up to which all changes of the operators' document are known.
@@ -179,6 +189,9 @@
         pub members: Vec<DatedMember>,
         /// Whether those are all that there are; others have gone.
         pub is_whole: bool,
+        /// All evacuations that it knows of, those that were taken back among them.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub evacuations: Vec<DatedEvacuation>,
         /// Up to where it knows the store's tables; none while the store doesn't answer it.
         pub known: Option<KnownUpTo>,
     }
--- a/crates/yuccarackd/src/protocol/refusal.rs
+++ b/crates/yuccarackd/src/protocol/refusal.rs
@@ -68,6 +68,8 @@
     NotReady,
     /// The gate or its target is leaving.
     Draining,
+    /// Operators want the targets of the gate's failure domain to get nothing.
+    Evacuated,
     /// The gate's admission refused; the inner word says why.
     Admission(&'static str),
     /// Runs of such requests fail for want of another service.
@@ -100,10 +102,11 @@
 
 impl Reason {
     /// Reasons that a gate gives for a routed request.
-    const TOLD_BY_GATES: [Self; 17] = [
+    const TOLD_BY_GATES: [Self; 18] = [
         Self::BadRequest,
         Self::NotReady,
         Self::Draining,
+        Self::Evacuated,
         Self::OtherService,
         Self::Shed,
         Self::Unreachable,
@@ -136,6 +139,7 @@
             Self::StoreAway => "store_away",
             Self::NotReady => "not_ready",
             Self::Draining => "draining",
+            Self::Evacuated => "evacuated",
             Self::Admission(word) => word,
             Self::ShortElsewhere => "short_elsewhere",
             Self::ClaimsBusy => "claims_busy",
@@ -178,6 +182,7 @@
             | Self::StoreAway
             | Self::NotReady
             | Self::Draining
+            | Self::Evacuated
             | Self::Admission(_)
             | Self::ShortElsewhere
             | Self::ClaimsBusy
--- /dev/null
+++ b/crates/yuccarackd/src/state/routed/evacuations.rs
@@ -0,0 +1,102 @@
+//! Failure domains that operators evacuate: their targets get nothing.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use parking_lot::RwLock;
+use tokio::sync::watch;
+use yuccarack_config::ids::{DomainName, Revision};
+
+use crate::protocol::peer_news::DatedEvacuation;
+
+/// Failure domains that are evacuated; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Evacuations {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// The latest of each failure domain, evacuated or taken back.
+    known: RwLock<BTreeMap<DomainName, State>>,
+    generation: watch::Sender<u64>,
+}
+
+/// Whether a failure domain is evacuated, and the revision that says so.
+#[derive(Clone, Copy, Debug)]
+struct State {
+    revision: Revision,
+    is_evacuated: bool,
+}
+
+impl Evacuations {
+    /// Starts without any.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Rises with each change.
+    pub fn generation(&self) -> u64 {
+        *self.inner.generation.borrow()
+    }
+
+    /// Tells of each change.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.inner.generation.subscribe()
+    }
+
+    /// Whether the targets of `domain` get nothing.
+    pub fn is_evacuated(&self, domain: &str) -> bool {
+        self.inner.known.read().get(domain).is_some_and(|state| state.is_evacuated)
+    }
+
+    /// How many failure domains are evacuated.
+    pub fn count(&self) -> usize {
+        self.inner.known.read().values().filter(|state| state.is_evacuated).count()
+    }
+
+    /// Takes a row in unless a newer one is known; says whether it changes anything.
+    ///
+    /// Failure: a peer that lags tells of an evacuation that was taken back, and a failure domain without
+    /// fault gets no work.
+    pub fn merge(&self, dated: &DatedEvacuation) -> bool {
+        let DatedEvacuation { failure_domain, revision, is_evacuated } = dated;
+        let state = State { revision: *revision, is_evacuated: *is_evacuated };
+        let mut known = self.inner.known.write();
+        let old = known.get(failure_domain).copied();
+        if old.is_some_and(|old| old.revision >= state.revision) {
+            return false;
+        }
+        known.insert(failure_domain.clone(), state);
+        drop(known);
+        let is_change = old.is_some_and(|old| old.is_evacuated) != state.is_evacuated;
+        if is_change {
+            self.inner.generation.send_modify(|generation| *generation += 1);
+        }
+        is_change
+    }
+
+    /// Evacuations that a whole reading at `revision`, which listed those of `listed`, shows to be taken back.
+    pub fn unlisted(&self, revision: Revision, listed: &[DomainName]) -> Vec<DatedEvacuation> {
+        let known = self.inner.known.read();
+        let is_gone = |(domain, state): &(&DomainName, &State)| {
+            state.is_evacuated && state.revision < revision && !listed.contains(domain)
+        };
+        let gone = known.iter().filter(is_gone).map(|(domain, _)| DatedEvacuation {
+            failure_domain: domain.clone(),
+            revision,
+            is_evacuated: false,
+        });
+        gone.collect()
+    }
+
+    /// All that is known, as another daemon is notified of it.
+    pub fn all(&self) -> Vec<DatedEvacuation> {
+        let known = self.inner.known.read();
+        let dated = known.iter().map(|(domain, state)| DatedEvacuation {
+            failure_domain: domain.clone(),
+            revision: state.revision,
+            is_evacuated: state.is_evacuated,
+        });
+        dated.collect()
+    }
+}
--- a/crates/yuccarackd/src/state/routed/mod.rs
+++ b/crates/yuccarackd/src/state/routed/mod.rs
@@ -1,6 +1,7 @@
 //! What a daemon for routed calls knows: routes, members, its target.
 
 pub mod boot_clock;
+pub mod evacuations;
 pub mod live_settings;
 pub mod members;
 pub mod metrics;
--- a/crates/yuccarackd/tests/catch_up.rs
+++ b/crates/yuccarackd/tests/catch_up.rs
@@ -32,6 +32,7 @@
     state::{
         counters::Counters,
         routed::{
+            evacuations::Evacuations,
             members::Members,
             news_source::{Followed, News, NewsSource},
             routing_state::RoutingState,
@@ -68,6 +69,7 @@
         changes: changes.map(|changes| PackedChanges::new(&changes).expect("packed changes")),
         members: Vec::new(),
         is_whole: false,
+        evacuations: Vec::new(),
         known: None,
     };
     serde_json::to_vec(&news).expect("JSON").into()
@@ -132,10 +134,12 @@
     let (counters, transfers) = (Counters::new(), Transfers::new());
     let events = EventLog::new(Logger::root(Discard, o!()), counters.clone(), 100);
     news.set_source(source);
+    let evacuations = Evacuations::new();
     let peers = Peers::new(PeersParts {
         own_address: ([127, 0, 0, 1], 9).into(),
         routing: routing.clone(),
         members: members.clone(),
+        evacuations: evacuations.clone(),
         news: news.clone(),
         transfers: transfers.clone(),
         leaving: CancellationToken::new(),
@@ -149,6 +153,7 @@
         store: StoreClient::new(platform, counters.clone()),
         routing: routing.clone(),
         members,
+        evacuations,
         counters,
         events,
         news: news.clone(),
--- a/crates/yuccarackd/tests/relay_lines.rs
+++ b/crates/yuccarackd/tests/relay_lines.rs
@@ -19,6 +19,7 @@
     state::{
         counters::Counters,
         routed::{
+            evacuations::Evacuations,
             members::Members,
             news_source::{Followed, News, NewsSource},
             routing_state::RoutingState,
@@ -47,6 +48,7 @@
             own_address: ([127, 0, 0, 1], 9).into(),
             routing: RoutingState::new(),
             members: members.clone(),
+            evacuations: Evacuations::new(),
             news: news.clone(),
             transfers: Transfers::new(),
             leaving: leaving.clone(),
