Requests of a route with homes stay in its regions

Cause: home_regions of the operators' document was passed over, so a request could reach any region. This deployment has a single region; nothing was seen there.

Change: settings know the region of each failure domain; an entry chooses only among gates whose domain lies in a home of the route, further tries included, and refuses at once where none has a target. Organisations are not in this platform's contracts yet, so homes of theirs are not read.

Result: homes:: with two regions of the stand-ins; both tests fail without the choice.

--- a/crates/yuccarack_policy/src/placement/mod.rs
+++ b/crates/yuccarack_policy/src/placement/mod.rs
@@ -63,6 +63,8 @@
     done: Vec<GateKey>,
     /// Whether one of them takes work, though not this request now.
     is_served: bool,
+    /// Those that may not get the request, however free they are.
+    barred: Vec<GateKey>,
 }
 
 impl Asked {
@@ -71,6 +73,11 @@
         self.all.len()
     }
 
+    /// Names those that may not get the request, in place of those named before.
+    pub fn bar(&mut self, barred: Vec<GateKey>) {
+        self.barred = barred;
+    }
+
     /// Notes what a gate said.
     pub fn note(&mut self, gate: GateKey, said: Said) {
         self.all.push(gate);
@@ -143,7 +150,8 @@
         asked: &Asked,
         mean_work: Duration,
     ) -> Option<Placed> {
-        let here = || self.gates.iter().filter(|(_, gate)| !gate.is_away(now));
+        let allowed = || self.gates.iter().filter(|(key, _)| !asked.barred.contains(key));
+        let here = || allowed().filter(|(_, gate)| !gate.is_away(now));
         let unasked = || here().filter(|(key, _)| !asked.all.contains(key));
         if asked.all.len() < TRIES_WITHOUT_WAIT
             && let Some(gate) = self.best(now, unasked(), rng, mean_work)
@@ -164,8 +172,7 @@
         }
         // All that is left may be away; asking one of them is how it is found out, those that can
         // be reached first.
-        let away =
-            self.gates.iter().filter(|(key, gate)| gate.is_away(now) && !asked.all.contains(key));
+        let away = allowed().filter(|(key, gate)| gate.is_away(now) && !asked.all.contains(key));
         let reached = away.clone().filter(|(_, gate)| !gate.is_unreachable);
         let gate = self.best(now, reached, rng, mean_work);
         let gate = gate.or_else(|| self.best(now, away, rng, mean_work))?;
--- a/crates/yuccarackd/src/coordination/routed/entry/call.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/call.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header, request::Parts};
 use hyper::ext::on_informational;
 use yuccarack_config::{
-    ids::{AttemptId, ServiceName},
+    ids::{AttemptId, RegionName, ServiceName},
     routing::RoutingVersion,
 };
 use yuccarack_platform_wire::headers;
@@ -39,6 +39,8 @@
     pub kind: u64,
     /// How urgent it is.
     pub rank: u8,
+    /// Regions that it may reach; all without one.
+    pub home_regions: Vec<RegionName>,
     /// Whether it may run more than once.
     pub is_repeatable: bool,
     /// Most targets that may run it.
--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -217,6 +217,7 @@
             service: self.service_of(route)?,
             kind,
             rank: route.rank,
+            home_regions: route.home_regions.clone(),
             is_repeatable: route.is_repeatable,
             targets_max: route.targets_max,
             routing_version: routing.version(),
--- a/crates/yuccarackd/src/coordination/routed/entry/service.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/service.rs
@@ -11,7 +11,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SecondaryMap;
 use yuccarack_config::{
-    ids::{DomainName, InstanceId},
+    ids::{DomainName, InstanceId, RegionName},
     routed_settings::RoutedSettings,
 };
 use yuccarack_policy::{
@@ -118,6 +118,19 @@
         }
     }
 
+    /// Keeps the request of `asked` from the gates of other regions than its homes.
+    pub fn keep_home(&self, asked: &mut Asked, homes: &[RegionName], settings: &RoutedSettings) {
+        if homes.is_empty() {
+            return;
+        }
+        let is_home = |member: &RoutedMember| {
+            settings.region_of(&member.failure_domain).is_some_and(|region| homes.contains(region))
+        };
+        let state = self.state.lock();
+        let outside = state.chosen_by.iter().filter(|(_, member)| !is_home(member));
+        asked.bar(outside.map(|(key, _)| key).collect());
+    }
+
     /// Notes a request, which earns its share of further tries.
     pub fn earn(&self) {
         self.state.lock().extra_tries.earn();
--- a/crates/yuccarackd/src/coordination/routed/entry/tries.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/tries.rs
@@ -89,6 +89,8 @@
     async fn run_all(&mut self) -> Result<Response<CallBody>, Refusal> {
         let mut last = None;
         loop {
+            let settings = self.entry.parts.settings.current();
+            self.service.keep_home(&mut self.asked, &self.call.home_regions, &settings);
             let Some(gate) = self.service.choose(Instant::now(), &self.asked) else {
                 return last.unwrap_or_else(|| Err(Refusal::not_run(Reason::NoTarget)));
             };
--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -6,6 +6,7 @@
 mod crashing;
 mod evacuation;
 mod explained;
+mod homes;
 mod large_tables;
 mod leaving;
 mod path;
