A target that starts with its daemon gets requests at once

What callers saw: after a loss of all power nothing was served for another 1.15 s.

Cause: a daemon that has just started took an earlier process of it to have used the whole bound. After a loss of power that process had ended before the target started.

Two processes that share a cold time keep the bound together (policy/tests/cold_rate.rs, for six ages of the cold time).

--- a/crates/yuccarack_config/src/routing.rs
+++ b/crates/yuccarack_config/src/routing.rs
@@ -73,6 +73,9 @@
         /// Requests that one target bears in 1,000 seconds while it is cold; 0 for no bound.
         #[serde(default)]
         pub cold_rate_per_1000_s: u32,
+        /// Time for which a target is cold after its start, in ms; 0 where that isn't known.
+        #[serde(default)]
+        pub cold_start_ms: u32,
     }
 
     /// What callers may send.
--- a/crates/yuccarack_config/src/routing_file/check.rs
+++ b/crates/yuccarack_config/src/routing_file/check.rs
@@ -22,6 +22,9 @@
 /// Most requests in 1,000 seconds that bound a cold target; 1,000 a second and more bound none.
 const COLD_RATE_MAX: u64 = 1_000_000;
 
+/// Longest time for which a target is cold after its start, in ms.
+const COLD_START_MAX_MS: u64 = 3_600_000;
+
 /// Largest number that every JSON tool of an operator keeps exactly, 2^53 - 1.
 const VERSION_MAX: u64 = 9_007_199_254_740_991;
 
@@ -71,6 +74,7 @@
     Field::required("load_path", Kind::PathPrefix),
     Field::required("connections_max", Kind::number(1, 65_535)),
     Field::defaulted("cold_rate_per_1000_s", Kind::number(0, COLD_RATE_MAX)),
+    Field::defaulted("cold_start_ms", Kind::number(0, COLD_START_MAX_MS)),
 ]);
 
 const CALLER_LIMITS: Kind = Kind::Group(&[
--- a/crates/yuccarack_config/tests/routing_changes.rs
+++ b/crates/yuccarack_config/tests/routing_changes.rs
@@ -46,6 +46,7 @@
             load_path: "/".to_owned(),
             connections_max: 9,
             cold_rate_per_1000_s: 14_000,
+            cold_start_ms: 3_000,
         };
         Routing::new(RoutingTable {
             version,
--- a/crates/yuccarack_policy/src/cold_rate.rs
+++ b/crates/yuccarack_policy/src/cold_rate.rs
@@ -80,6 +80,8 @@
     handed_over: VecDeque<HandedOver>,
     /// Start of this process; an earlier one may have handed requests over until then.
     started_at: Option<Instant>,
+    /// Start of the target's cold time, at the earliest; unset where that isn't known.
+    cold_from: Option<Instant>,
     /// Latest moment at which the target is known to have been warm.
     warm_as_of: Option<Instant>,
     cold_until: Option<Instant>,
@@ -104,6 +106,11 @@
         self.bound = bound;
     }
 
+    /// Notes that the target's cold time started no earlier than `cold_from`.
+    pub fn set_cold_from(&mut self, cold_from: Instant) {
+        self.cold_from = Some(cold_from);
+    }
+
     /// Notes that the target, asked just now, says that it is cold until `cold_until`.
     pub fn set_cold_until(&mut self, cold_until: Instant) {
         self.cold_until = Some(cold_until);
@@ -142,7 +149,7 @@
     /// When the next request may be handed over; none if at once.
     pub fn free_at(&self, now: Instant) -> Option<Instant> {
         let bound = self.bound?;
-        let free_at = self.window_free_at(bound).max(self.start_free_at());
+        let free_at = self.window_free_at(bound).max(self.start_free_at(bound, now));
         let is_spread = self.is_spread && self.is_cold(now);
         let spread_at = if is_spread { self.spread_free_at(bound) } else { None };
         free_at.max(spread_at).filter(|free_at| *free_at > now)
@@ -194,10 +201,28 @@
 
     /// Failure: a daemon is killed and starts again at once, and its target gets the requests of two
     /// processes within one second.
-    fn start_free_at(&self) -> Option<Instant> {
+    fn start_free_at(&self, bound: ColdBound, now: Instant) -> Option<Instant> {
         let started_at = self.started_at?;
-        let is_proved = self.warm_as_of.is_some_and(|warm_as_of| warm_as_of > started_at);
-        (!is_proved).then(|| started_at + WINDOW)
+        if self.warm_as_of.is_some_and(|warm_as_of| warm_as_of > started_at) {
+            return None;
+        }
+        let earlier = self.of_earlier_process(bound, started_at);
+        let is_free = self.in_window(now) + earlier < bound.requests();
+        (!is_free).then(|| started_at + WINDOW)
+    }
+
+    /// Requests that an earlier process may have handed over since the target became cold.
+    ///
+    /// After a loss of power target and daemon start together, and there was no earlier process: held back for
+    /// a whole window, every target of the fleet would idle while callers wait.
+    fn of_earlier_process(&self, bound: ColdBound, started_at: Instant) -> usize {
+        let Some(cold_from) = self.cold_from.filter(|_| self.is_spread) else {
+            return bound.requests();
+        };
+        match started_at.saturating_duration_since(cold_from) {
+            Duration::ZERO => 0,
+            cold_for => BURST + cold_for.div_duration_f64(bound.interval()).ceil() as usize,
+        }
     }
 
     /// Failure: all that a cold target may get in a second goes in the first tenths of it, and what is urgent
--- a/crates/yuccarack_policy/tests/cold_rate.rs
+++ b/crates/yuccarack_policy/tests/cold_rate.rs
@@ -170,6 +170,43 @@
     assert_eq!(rate.free_at(start + ms(3)), None);
 }
 
+/// Guards against targets that idle after a loss of power because an earlier process of their daemons might
+/// have pressed them: it ended before they started.
+#[test]
+fn a_target_that_starts_with_its_daemon_gets_requests_at_once() {
+    let start = Instant::now();
+    let mut rate = limited(start);
+    rate.set_cold_until(start + ms(3_000));
+    rate.set_cold_from(start + ms(5));
+    assert_eq!(rate.free_at(start + ms(10)), None);
+}
+
+/// Guards against two processes of a daemon that together press a target that became cold before the second
+/// one started.
+#[test]
+fn what_an_earlier_process_may_have_sent_to_a_cold_target_counts() {
+    for cold_for in [1, 20, 100, 400, 900, 2_000] {
+        let cold_from = Instant::now();
+        let start = cold_from + ms(cold_for);
+        let mut before = limited(cold_from.checked_sub(WINDOW).expect("a machine that is up"));
+        before.set_cold_until(cold_from + ms(3_000));
+        let mut after = limited(start);
+        after.set_cold_until(cold_from + ms(3_000));
+        after.set_cold_from(cold_from);
+        let mut arrivals = Vec::new();
+        for at_ms in 0..3_000 {
+            let now = cold_from + ms(at_ms);
+            let rate = if now < start { &mut before } else { &mut after };
+            if rate.free_at(now).is_none() {
+                rate.handed_over(now);
+                arrivals.push(now);
+            }
+        }
+        let most = most_in_a_second(&arrivals);
+        assert!(most <= MOST, "{most} in a second, cold for {cold_for} ms");
+    }
+}
+
 /// Guards against a heartbeat that was long on its way and ends a cold time that a look has told.
 #[test]
 fn a_heartbeat_never_ends_a_cold_time() {
--- a/crates/yuccarackd/src/coordination/routed/control_door.rs
+++ b/crates/yuccarackd/src/coordination/routed/control_door.rs
@@ -148,7 +148,7 @@
 /// # Errors
 ///
 /// This machine's clock stands before 1970.
-fn unix_ms() -> Result<u64, SystemTimeError> {
+pub(super) fn unix_ms() -> Result<u64, SystemTimeError> {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?;
     Ok(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/yuccarackd/tests/support/tables.rs
+++ b/crates/yuccarackd/tests/support/tables.rs
@@ -32,6 +32,7 @@
         load_path: "/health".to_owned(),
         connections_max: 240,
         cold_rate_per_1000_s: 0,
+        cold_start_ms: 0,
     };
     RoutingTable {
         version,
