Requests between the told end of a cold time and its proof count as cold

Found by 3,000 plays of a_cold_target_gets_no_more_than_the_bound_whenever_it_becomes_cold (the 100 of a usual run had passed): a target whose cold time lasts longer than it said, and that becomes cold again within 200 ms of being warm, got 36 requests in a second where 29 are allowed. Cause: requests after the told end counted as proved warm by the next look, though they had arrived before that. Now they count as cold until a look proves the target warm. A heartbeat that says warm no longer ends or opens a cold time by itself.

30,000 plays hold after the change (16 s); the test and its bound are unchanged.

--- a/crates/yuccarack_policy/src/cold_rate.rs
+++ b/crates/yuccarack_policy/src/cold_rate.rs
@@ -68,7 +68,7 @@
 #[derive(Clone, Copy, Debug)]
 struct HandedOver {
     at: Instant,
-    /// Whether the target has said that it was cold then.
+    /// Whether the target had said that it was cold, and no look had proved it warm since.
     is_cold: bool,
 }
 
@@ -163,7 +163,8 @@
         while self.handed_over.front().is_some_and(|oldest| oldest.at + WINDOW <= now) {
             self.handed_over.pop_front();
         }
-        let is_cold = self.is_cold(now);
+        // From the end that was told until a look proves it warm it may be cold all the same.
+        let is_cold = self.cold_until.is_some();
         self.handed_over.push_back(HandedOver { at: now, is_cold });
     }
 
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -283,7 +283,9 @@
             old.slots.change(|queue, now| {
                 queue.stay();
                 queue.set_slots(now, view.slots);
-                queue.cold_rate_mut().extend_cold_until(view.cold_until);
+                if view.is_cold {
+                    queue.cold_rate_mut().extend_cold_until(view.cold_until);
+                }
             });
             return None;
         }
@@ -294,7 +296,9 @@
             cold_rate = old.slots.read(|queue| queue.cold_rate().clone());
             old.stop.cancel();
         }
-        cold_rate.extend_cold_until(view.cold_until);
+        if view.is_cold {
+            cold_rate.extend_cold_until(view.cold_until);
+        }
         self.parts.events.write(|| TargetTakenIn {
             target: view.target.clone(),
             service: view.service.clone(),
