A cold target gets the most urgent requests first

What callers saw: in the seconds after a loss of power bookings (rank 0) were refused as cold while supply-desk's targets ran inner calls of repair orders (rank 1), since short work goes first. A cold target is bounded by the number of requests and not by their time, so short work costs as much as any.

Change: while the bound holds the order is by urgency; switch cold_by_rank. The new test fails without it.

--- a/crates/yuccarack_config/src/decisions.rs
+++ b/crates/yuccarack_config/src/decisions.rs
@@ -27,6 +27,8 @@
         pub home_first: bool,
         /// What a cold target may get in a second is spread over it.
         pub cold_spread: bool,
+        /// A cold target gets the most urgent requests first, and short ones no earlier than others.
+        pub cold_by_rank: bool,
     }
 }
 
@@ -43,6 +45,7 @@
             slow_passed_over: true,
             home_first: true,
             cold_spread: true,
+            cold_by_rank: true,
         }
     }
 }
--- a/crates/yuccarack_config/src/routed_settings/check.rs
+++ b/crates/yuccarack_config/src/routed_settings/check.rs
@@ -55,6 +55,7 @@
     Field::defaulted("slow_passed_over", Kind::Flag),
     Field::defaulted("home_first", Kind::Flag),
     Field::defaulted("cold_spread", Kind::Flag),
+    Field::defaulted("cold_by_rank", Kind::Flag),
 ]);
 
 const BOUNDS: Kind = Kind::Group(&[
--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -9,7 +9,8 @@
 //!
 //! Much of what a service runs are calls that requests of other services make, which are short against
 //! its own requests. Turned away or late, each of them wastes the run of its parent; let in first, it
-//! holds up the rest by little. So short work goes first, and may wait for as long as its caller does.
+//! holds up the rest by little. So short work goes first, and may wait for as long as its caller does. A cold
+//! target is bounded by the number of requests and not by their time, and gets the most urgent ones first.
 
 mod times;
 mod verdict;
@@ -289,7 +290,7 @@
     /// Whether a request that has to wait is answered while that is of use.
     fn fits(&self, now: Instant, work: &Work) -> Result<(), RefusedReason> {
         let likely_time = self.likely_run_time(now, work.kind);
-        let arrived = order(work, self.is_short(work.kind), now, likely_time);
+        let arrived = order(work, self.goes_ahead(now, work.kind), now, likely_time);
         let ahead = self.waiting.values().filter(|other| self.order(other, now) <= arrived);
         let starts_at = now + self.wait_behind(now, ahead.count());
         if starts_at + self.run_time(now, work.kind) > work.give_up_by {
@@ -315,6 +316,15 @@
         self.decisions.short_first && self.times.is_short(kind)
     }
 
+    /// Whether work of `kind` goes before all that isn't short.
+    ///
+    /// Failure: a cold target gets so many requests a second, short ones or not, and those that are called for
+    /// less urgent work take them all.
+    fn goes_ahead(&self, now: Instant, kind: u64) -> bool {
+        let is_bounded = self.decisions.cold_by_rank && self.cold_rate.interval(now).is_some();
+        self.is_short(kind) && !is_bounded
+    }
+
     fn wait_behind(&self, now: Instant, ahead: usize) -> Duration {
         let turn = self.pace.run_time(now, self.times.mean()).div_f64(self.limit() as f64);
         let turn = self.cold_rate.interval(now).map_or(turn, |interval| interval.max(turn));
@@ -361,7 +371,8 @@
 
     fn order(&self, waiting: &Waiting, now: Instant) -> Order {
         let work = &waiting.work;
-        order(work, self.is_short(work.kind), now, self.likely_run_time(now, work.kind))
+        let likely_time = self.likely_run_time(now, work.kind);
+        order(work, self.goes_ahead(now, work.kind), now, likely_time)
     }
 
     /// Turns away what waits without hope.
--- a/crates/yuccarack_policy/src/work_queue/waiting.rs
+++ b/crates/yuccarack_policy/src/work_queue/waiting.rs
@@ -10,12 +10,12 @@
     pub work: Work,
 }
 
-/// Place in the order, the least goes first: what is short, what can be on time, the most urgent,
-/// and what has the least time left.
+/// Place in the order, the least goes first: what goes ahead of all else, what can be on time, the most
+/// urgent, and what has the least time left.
 pub type Order = (bool, bool, u8, Instant);
 
 /// The place of `work`, which takes `run_time` if it starts now.
-pub fn order(work: &Work, is_short: bool, now: Instant, run_time: Duration) -> Order {
+pub fn order(work: &Work, is_ahead: bool, now: Instant, run_time: Duration) -> Order {
     let is_late = now + run_time > work.on_time_by;
-    (!is_short, is_late, work.rank, work.on_time_by)
+    (!is_ahead, is_late, work.rank, work.on_time_by)
 }
--- a/crates/yuccarack_policy/tests/cold_rate.rs
+++ b/crates/yuccarack_policy/tests/cold_rate.rs
@@ -5,7 +5,7 @@
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use yuccarack_policy::{
     cold_rate::{ColdBound, ColdRate, WINDOW},
-    work_queue::{Offered, RefusedReason, RunEnd, Work, WorkQueue},
+    work_queue::{Offered, RefusedReason, RunEnd, Settled, Work, WorkQueue},
 };
 
 /// The second of the operators' rule.
@@ -247,7 +247,7 @@
         let now = start + ms(at_ms);
         let settled = queue.poll(now);
         for one in settled {
-            if let yuccarack_policy::work_queue::Settled::Run(waiting, run) = one {
+            if let Settled::Run(waiting, run) = one {
                 urgent_waits.retain(|(key, since): &(_, Instant)| {
                     let is_it = *key == waiting;
                     assert!(!is_it || now.duration_since(*since) <= ms(200), "waited for too long");
@@ -305,3 +305,33 @@
     assert_eq!(queue.limit_at(start), 5);
     assert_eq!(queue.limit_at(start + ms(3_001)), queue.limit());
 }
+
+/// Guards against urgent requests that a cold target refuses because short ones, called for less urgent work,
+/// take all that it may get.
+#[test]
+fn a_cold_target_takes_urgent_requests_before_short_ones() {
+    let start = Instant::now();
+    let mut queue = WorkQueue::new(18);
+    let (urgent, short) = (0, 1);
+    for number in 0..100 {
+        let took = if number % 2 == 0 { ms(180) } else { ms(60) };
+        let Offered::Run(run) = queue.offer(start, work(start, (number % 2) as u8)) else {
+            panic!("an idle queue")
+        };
+        queue.release(start + took, run, RunEnd::Answered);
+    }
+    let mut rate = limited(start);
+    rate.set_warm(start + ms(1));
+    rate.set_cold_until(start + ms(3_000));
+    let mut queue = queue.with_cold_rate(rate);
+    let now = start + ms(10);
+    for _ in 0..4 {
+        assert!(matches!(queue.offer(now, work(now, short)), Offered::Run(_)));
+    }
+    let patient = |rank| Work { on_time_by: now + ms(1_000), ..work(now, rank) };
+    let Offered::Wait(_) = queue.offer(now, patient(short)) else { panic!("refused") };
+    let Offered::Wait(first) = queue.offer(now, patient(urgent)) else { panic!("refused") };
+    let settled = queue.poll(now + WINDOW / 5);
+    let Some(Settled::Run(started, _)) = settled.first() else { panic!("{settled:?}") };
+    assert_eq!(*started, first);
+}
