Soak: targets that become cold and evacuated failure domains

Two faults, two checks of the judge: a cold target gets no more than the bound in each second that its cold time touches, and the targets of an evacuated domain get nothing from 5 s on where neither daemon nor store is disturbed.

--- a/crates/yuccarackd/tests/routed/soak/judge.rs
+++ b/crates/yuccarackd/tests/routed/soak/judge.rs
@@ -23,6 +23,9 @@
 /// Time in which a version is in force at a calm instance: 2 s, and one for a busy machine.
 const IN_FORCE_MAX: Duration = Duration::from_secs(3);
 
+/// Time in which an evacuation is in force, as operators want it.
+const EVACUATION_IN_FORCE_MAX: Duration = Duration::from_secs(5);
+
 /// Time after trouble of the store up to which it may take longer.
 const STORE_SETTLES: Duration = Duration::from_secs(5);
 
@@ -58,6 +61,10 @@
     UnknownFate { id: String, instance: usize, reason: String },
     /// A target that was heard to leave got a request.
     Leaving { instance: usize, after: Duration },
+    /// A cold target got more requests than it may in its time.
+    PressedCold { instance: usize, arrivals: usize, cold_for: Duration },
+    /// A target of an evacuated failure domain got a request.
+    Evacuated { instance: usize, after: Duration },
     /// A version was not in force in time.
     LateVersion { id: String, instance: usize, number: u64, after: Duration },
     /// A process went back to an older version.
@@ -82,6 +89,8 @@
     let mut breaches = record.breaches.clone();
     record.ended.iter().for_each(|ended| judge.call(ended, &mut breaches));
     judge.drains(&mut breaches);
+    judge.cold_targets(&mut breaches);
+    judge.evacuations(&mut breaches);
     judge.versions(&mut breaches);
     judge.arrivals(&mut breaches);
     breaches
@@ -202,6 +211,63 @@
         }
     }
 
+    /// Each whole second that a cold time touches may bring as many as the bound.
+    fn cold_targets(&self, breaches: &mut Vec<Breach>) {
+        if self.record.cold_per_s == 0 {
+            return;
+        }
+        for span in &self.record.spans {
+            let (Fault::ColdTarget(instance), Some(until)) = (span.fault, span.until) else {
+                continue;
+            };
+            // A link that holds requests up and lets them go together is no decision of the gate, and a
+            // target that starts anew is warm.
+            let hides = |fault| match fault {
+                Fault::TargetLink(at, _) | Fault::CrashedTarget(at) | Fault::SetBackTarget(at) => {
+                    at == instance
+                }
+                _ => false,
+            };
+            if self.any_within(span.from, until, hides) {
+                continue;
+            }
+            let cold_for = until - span.from;
+            let arrivals = &self.record.received[instance].arrivals;
+            let arrivals = arrivals.iter().filter(|at| (span.from..until).contains(*at)).count();
+            let seconds = cold_for.as_secs() as usize + 2;
+            if arrivals > seconds * self.record.cold_per_s {
+                breaches.push(Breach::PressedCold { instance, arrivals, cold_for });
+            }
+        }
+    }
+
+    /// Where neither a daemon of the instance nor the store was disturbed.
+    fn evacuations(&self, breaches: &mut Vec<Breach>) {
+        for span in &self.record.spans {
+            let (Fault::EvacuatedDomain(domain), Some(until)) = (span.fault, span.until) else {
+                continue;
+            };
+            let Some(since) = span.from.checked_sub(STORE_SETTLES) else { continue };
+            let instances = self.record.received.iter().enumerate();
+            for (instance, received) in instances.skip(domain).step_by(self.record.domains) {
+                let hits = |fault: Fault| {
+                    fault.hits_daemon(instance)
+                        || fault.hits_store_of(instance)
+                        || matches!(fault, Fault::TargetLink(at, _) if at == instance)
+                };
+                if self.any_within(since, until, hits) {
+                    continue;
+                }
+                let in_force_at = span.from + EVACUATION_IN_FORCE_MAX;
+                let late = received.arrivals.iter().find(|at| (in_force_at..until).contains(*at));
+                if let Some(late) = late {
+                    let after = *late - span.from;
+                    breaches.push(Breach::Evacuated { instance, after });
+                }
+            }
+        }
+    }
+
     fn versions(&self, breaches: &mut Vec<Breach>) {
         for ended in &self.record.ended {
             let Kind::Versioned(number) = ended.kind else { continue };
--- a/crates/yuccarackd/tests/routed/soak/mod.rs
+++ b/crates/yuccarackd/tests/routed/soak/mod.rs
@@ -39,6 +39,9 @@
 /// Seeds of walks whose callers send ahead that run with the other tests.
 const SEEDS_AHEAD: [u64; 3] = [6, 7, 8];
 
+/// Seeds of walks with cold targets and evacuations that run with the other tests.
+const SEEDS_COLD: [u64; 3] = [11, 12, 13];
+
 /// Walks that run at once.
 const WALKS_AT_ONCE: usize = 3;
 
@@ -86,6 +89,12 @@
     check(SEEDS_AHEAD.into_iter().map(plan).collect()).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn faults_break_no_promise_to_cold_targets_and_evacuated_domains() {
+    let plan = |seed| Plan::new(seed, INSTANCES).with_cold_targets();
+    check(SEEDS_COLD.into_iter().map(plan).collect()).await;
+}
+
 /// Runs only with `YUCCARACK_WALK_MINUTES`, as `scripts/soak` sets it. A seed that fails is told with
 /// its plan and with the faults of it that are enough; the next seeds run all the same.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -103,6 +112,7 @@
             None => Plan::pressed(seed),
         };
         let plan = if seed.is_multiple_of(3) { plan.with_ahead() } else { plan };
+        let plan = if seed.is_multiple_of(4) { plan.with_cold_targets() } else { plan };
         let record = Walk::run(&plan).await;
         let breaches = judge(&record);
         println!("seed {seed}: {} faults, {} calls", plan.events.len(), record.ended.len());
--- a/crates/yuccarackd/tests/routed/soak/plan.rs
+++ b/crates/yuccarackd/tests/routed/soak/plan.rs
@@ -31,6 +31,15 @@
 const TARGETS_MAX: u32 = 2;
 const TARGETS_MAX_OF_FAILING: u32 = 4;
 
+/// Requests a second that a cold target may get.
+const COLD_PER_S: usize = 10;
+
+/// Longest time for which a target is cold, in ms.
+const COLD_MAX_MS: u64 = 2_500;
+
+/// Time for which a failure domain is evacuated, in ms; beyond that in which this has to be in force.
+const EVACUATED_MS: u64 = 6_000;
+
 /// Length of a step of a walk in steps, in ms.
 const STEP_MS: u64 = 800;
 
@@ -61,6 +70,10 @@
     GateLink(usize, LinkFault),
     /// Between the daemon of an instance and its target.
     TargetLink(usize, LinkFault),
+    /// The target is cold for as long as the fault lasts.
+    ColdTarget(usize),
+    /// Operators evacuate the failure domain of this number.
+    EvacuatedDomain(usize),
 }
 
 /// Something that goes wrong with connections.
@@ -104,6 +117,8 @@
     pub callers: usize,
     /// Targets that a request may run on.
     pub targets_max: u32,
+    /// Requests a second that a cold target may get, as operators say; 0 for no bound.
+    pub cold_per_s: usize,
     /// Whether one more caller of each instance sends requests ahead.
     pub sends_ahead: bool,
     /// Faults, in no order.
@@ -138,6 +153,7 @@
             domains: 3,
             callers: CALLERS,
             targets_max: TARGETS_MAX,
+            cold_per_s: 0,
             sends_ahead: false,
             events,
         }
@@ -149,6 +165,25 @@
         self
     }
 
+    /// The plan with targets that become cold and failure domains that are evacuated besides.
+    pub fn with_cold_targets(mut self) -> Self {
+        let mut random = StdRng::seed_from_u64(self.seed.wrapping_mul(31));
+        self.cold_per_s = COLD_PER_S;
+        for _ in 0..self.instances {
+            let fault = Fault::ColdTarget(random.random_range(0..self.instances));
+            let (at_ms, for_ms) =
+                (random.random_range(0..LENGTH_MS), random.random_range(300..COLD_MAX_MS));
+            self.events.push(Event { at_ms, for_ms, fault });
+        }
+        let fault = Fault::EvacuatedDomain(random.random_range(0..self.domains));
+        self.events.push(Event {
+            at_ms: random.random_range(0..1_000),
+            for_ms: EVACUATED_MS,
+            fault,
+        });
+        self
+    }
+
     /// Such faults, and one of three loads that few of them bring about: all daemons start while no
     /// news are to be had, each try fails, or more callers than slots, some of whom leave.
     pub fn pressed(seed: u64) -> Self {
@@ -296,6 +331,8 @@
             | Self::StoreDoors(_)
             | Self::StoreForgets
             | Self::SlowStore(_)
+            | Self::ColdTarget(_)
+            | Self::EvacuatedDomain(_)
             | Self::NewRoutes => false,
         }
     }
--- a/crates/yuccarackd/tests/routed/soak/record.rs
+++ b/crates/yuccarackd/tests/routed/soak/record.rs
@@ -44,6 +44,10 @@
 /// All that is known of a walk at its end.
 #[derive(Debug, Default)]
 pub struct Record {
+    /// Failure domains in which the instances stand by turns.
+    pub domains: usize,
+    /// Requests a second that a cold target may get; 0 for no bound.
+    pub cold_per_s: usize,
     /// Where proxies stand, by instance.
     pub links: Vec<Links>,
     /// Calls.
--- a/crates/yuccarackd/tests/routed/soak/walk.rs
+++ b/crates/yuccarackd/tests/routed/soak/walk.rs
@@ -7,7 +7,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 use yuccarack_platform_standin::{
     caller::{Call, ask},
-    deployment::{Deployment, RouteSpec},
+    deployment::{Deployment, FAILURE_DOMAINS, RouteSpec},
     instance::{Instance, Links},
     store::DoorMode,
     target::Behaviour,
@@ -71,6 +71,7 @@
         let starting =
             Deployment::start_with(program(), &name, &services, &links, plan.domains).await;
         let mut deployment = starting.expect(&name);
+        deployment.bound_cold_targets(plan.cold_per_s as f64);
         deployment.apply(&routes(plan.targets_max)).await;
         let started = vec![vec![Instant::now()]; plan.instances];
         let received = vec![Received::default(); plan.instances];
@@ -79,7 +80,14 @@
             targets_max: plan.targets_max,
             deployment,
             versions: Versions::new(Mutex::default()),
-            record: Record { links, starts: started, received, ..Default::default() },
+            record: Record {
+                links,
+                starts: started,
+                received,
+                domains: plan.domains,
+                cold_per_s: plan.cold_per_s,
+                ..Default::default()
+            },
             spans: vec![None; plan.events.len()],
         };
         walk.play(plan).await
@@ -156,7 +164,7 @@
     }
 
     async fn strike(&mut self, index: usize) {
-        let fault = self.events[index].fault;
+        let Event { fault, for_ms, .. } = self.events[index];
         self.spans[index] = Some(self.record.spans.len());
         self.record.spans.push(Span { fault, from: Instant::now(), until: None });
         let instances = &mut self.deployment.instances;
@@ -197,6 +205,12 @@
             Fault::StoreForgets => self.deployment.store.compact(),
             Fault::SlowStore(at) => instances[at].door.set_delay(Duration::from_millis(300)),
             Fault::NewRoutes => self.write_version(),
+            Fault::ColdTarget(at) => {
+                instances[at].target.cool_down(Duration::from_millis(for_ms));
+            }
+            Fault::EvacuatedDomain(domain) => {
+                self.deployment.store.put("op", &evacuation_of(domain), b"{}");
+            }
             Fault::GateLink(at, link) => {
                 if let Some(gate) = &instances[at].proxies.gate {
                     disturb(gate, link);
@@ -243,7 +257,11 @@
                     target.set_faults(ProxyFaults::default());
                 }
             }
-            Fault::CrashedTarget(_)
+            Fault::EvacuatedDomain(domain) => {
+                self.deployment.store.delete("op", &evacuation_of(domain));
+            }
+            Fault::ColdTarget(_)
+            | Fault::CrashedTarget(_)
             | Fault::SetBackTarget(_)
             | Fault::ReloadedDaemon(_)
             | Fault::StoreForgets
@@ -365,6 +383,11 @@
     board_routes().into_iter().map(|route| RouteSpec { targets_max, ..route }).collect()
 }
 
+/// Key of the row that evacuates the failure domain of a number.
+fn evacuation_of(domain: usize) -> String {
+    format!("evacuate/{}", FAILURE_DOMAINS[domain])
+}
+
 fn disturb(proxy: &Proxy, link: LinkFault) {
     let none = ProxyFaults::default();
     let faults = match link {
