--- a/crates/yuccarack_policy/src/cold_rate.rs
+++ b/crates/yuccarack_policy/src/cold_rate.rs
@@ -3,7 +3,7 @@
 //! The pattern is a small service whose targets bear far fewer requests a second while they are cold
 //! than their usual share of the load. After a loss of power that load meets all of them at once, they
 //! crash, come back cold, and meet it again, for as long as it lasts. A target may also become cold at
-//! any moment, and its gate learns of that only later. So what counts is every request that was handed
+//! any moment, which its gate learns only later. So what counts is every request that was handed
 //! over since the target was last known to be warm: if these keep the bound, they keep it whenever the
 //! target became cold.
 
@@ -163,7 +163,7 @@
         while self.handed_over.front().is_some_and(|oldest| oldest.at + WINDOW <= now) {
             self.handed_over.pop_front();
         }
-        // From the end that was told until a look proves it warm it may be cold all the same.
+        // Between the reported end of a cold time and the proof that it is warm it may still be cold.
         let is_cold = self.cold_until.is_some();
         self.handed_over.push_back(HandedOver { at: now, is_cold });
     }
--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -12,6 +12,7 @@
 //! holds up the rest by little. So short work goes first, and may wait for as long as its caller does. A cold
 //! target is bounded by the number of requests and not by their time, and gets the most urgent ones first.
 
+mod estimates;
 mod times;
 mod verdict;
 mod waiting;
@@ -75,9 +76,6 @@
 /// several times as many wait as can be answered in time, and all of these are late.
 const ASSUMED_SHARE: f64 = 1.0 / 3.0;
 
-/// How much longer work takes at a target that has just started, as targets of the fleet do.
-const COLD_SLOWNESS: f64 = 2.0;
-
 #[derive(Clone, Copy, Debug)]
 struct Running {
     kind: u64,
@@ -159,14 +157,6 @@
         ((f64::from(self.slots) * FILLED_SHARE) as usize).max(1)
     }
 
-    /// Most requests that run at once at the rate that the target gets now.
-    pub fn limit_at(&self, now: Instant) -> usize {
-        let Some(interval) = self.cold_rate.interval(now) else { return self.limit() };
-        let run_time = self.at_pace(now, self.times.mean());
-        let at_once = run_time.div_duration_f64(interval) as usize;
-        at_once.clamp(1, self.limit())
-    }
-
     /// Requests that run.
     pub fn running(&self) -> usize {
         self.running.len()
@@ -325,35 +315,6 @@
         self.is_short(kind) && !is_bounded
     }
 
-    fn wait_behind(&self, now: Instant, ahead: usize) -> Duration {
-        let turn = self.pace.run_time(now, self.times.mean()).div_f64(self.limit() as f64);
-        let turn = self.cold_rate.interval(now).map_or(turn, |interval| interval.max(turn));
-        turn.mul_f64((ahead + 1) as f64)
-    }
-
-    fn run_time(&self, now: Instant, kind: u64) -> Duration {
-        self.at_pace(now, self.times.of(kind))
-    }
-
-    /// Time within which most work of `kind` ends that starts now.
-    ///
-    /// Failure: work is let in that is just on time if it takes as long as the mean. In an overload
-    /// all of it is, so that half of it is late, and the slots work for answers of little use.
-    fn likely_run_time(&self, now: Instant, kind: u64) -> Duration {
-        let time = match self.decisions.likely_times {
-            true => self.times.likely(kind),
-            false => self.times.of(kind),
-        };
-        self.at_pace(now, time)
-    }
-
-    /// Time that `work` takes that starts now. The pace that a target tells after its start counts that
-    /// it is slow then.
-    fn at_pace(&self, now: Instant, work: Duration) -> Duration {
-        let time = self.pace.run_time(now, work);
-        if self.cold_rate.is_cold(now) { time.max(work.mul_f64(COLD_SLOWNESS)) } else { time }
-    }
-
     /// Starts waiting requests while there is room.
     fn start_waiting(&mut self, now: Instant) {
         while self.running.len() < self.limit() && self.cold_rate.free_at(now).is_none() {
--- a/crates/yuccarackd/src/coordination/routed/gate/looks.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/looks.rs
@@ -1,4 +1,4 @@
-//! Looks at a target's health: its pace, where no answer has told it for a while, and whether it is cold.
+//! Health checks of the own target: its pace, where no answer has reported it for a while, and whether it is cold.
 
 use std::{
     sync::Arc,
@@ -22,8 +22,8 @@
 /// Most bytes of a look's answer that are read.
 const ANSWER_MAX_BYTES: usize = 4 * 1024;
 
-/// What a target tells in answer to a look.
-struct Told {
+/// What a target reports in answer to a look.
+struct Report {
     /// How long work takes there, in percent of the usual time; unset where it doesn't say so.
     pace_percent: Option<u16>,
     /// Time for which it is still cold.
@@ -71,32 +71,32 @@
     for_cold.into_iter().chain(for_pace).min()
 }
 
-/// Asks the target once; what it tells is noted with its pace and its warmth.
+/// Asks the target once and notes its pace and whether it is cold.
 async fn look(gate: &Gate, open: &OpenTarget) -> Looked {
     let asked_at = Instant::now();
     open.slots.change(|queue, now| queue.cold_rate_mut().looked(now));
     let Some(path) = gate.load_path(open) else { return Looked::InVain };
     gate.parts.counters.add("gate.pace_looks");
-    let told = match timeout_at((asked_at + LOOK_TIMEOUT).into(), ask(gate, open, &path)).await {
-        Ok(Some(told)) => told,
+    let report = match timeout_at((asked_at + LOOK_TIMEOUT).into(), ask(gate, open, &path)).await {
+        Ok(Some(report)) => report,
         Ok(None) | Err(_) => {
             gate.parts.counters.add("gate.pace_looks_in_vain");
             return Looked::InVain;
         }
     };
     open.slots.change(|queue, now| {
-        match told.cold_for.is_zero() {
+        match report.cold_for.is_zero() {
             true => queue.cold_rate_mut().set_warm(asked_at),
-            false => queue.cold_rate_mut().set_cold_until(now + told.cold_for),
+            false => queue.cold_rate_mut().set_cold_until(now + report.cold_for),
         }
-        if let Some(percent) = told.pace_percent {
+        if let Some(percent) = report.pace_percent {
             queue.pace_reported(now, f64::from(percent) / 100.0);
         }
     });
-    if told.pace_percent.is_some() { Looked::Told } else { Looked::InVain }
+    if report.pace_percent.is_some() { Looked::Told } else { Looked::InVain }
 }
 
-async fn ask(gate: &Gate, open: &OpenTarget, path: &str) -> Option<Told> {
+async fn ask(gate: &Gate, open: &OpenTarget, path: &str) -> Option<Report> {
     let address = open.view.address;
     let host = HeaderValue::from_str(&address.to_string()).ok()?;
     let request = Request::get(path).header(header::HOST, host).body(body::empty()).ok()?;
@@ -107,5 +107,5 @@
     let cold_for = load::decode_cold_for(answer.headers());
     // Read to its end, so that the connection can be used again.
     BodyStart::read(answer.into_body(), ANSWER_MAX_BYTES).await.ok()?;
-    is_own.then_some(Told { pace_percent, cold_for })
+    is_own.then_some(Report { pace_percent, cold_for })
 }
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -1,5 +1,6 @@
 //! The gate of one target for routed requests: the only way in.
 
+mod cold;
 mod crashes;
 mod door;
 mod exchange;
@@ -21,11 +22,7 @@
 use tokio::time::sleep;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use yuccarack_config::{decisions::Decisions, heartbeat::TargetPhase};
-use yuccarack_policy::{
-    cold_rate::{ColdBound, ColdRate},
-    placement::GateLoad,
-    work_queue::Refused,
-};
+use yuccarack_policy::{cold_rate::ColdRate, placement::GateLoad, work_queue::Refused};
 
 pub use self::{
     crashes::{Crashes, CrashesParts},
@@ -34,9 +31,8 @@
 };
 use self::{exchange::Exchange, kept::KeptConnections, work_slots::WorkSlots};
 use super::{
-    control_door::unix_ms,
     events::EventLog,
-    lines::{ClockUnusable, GateRefused, TargetLost, TargetRegained, TargetTakenIn},
+    lines::{GateRefused, TargetLost, TargetRegained, TargetTakenIn},
 };
 use crate::{
     protocol::{
@@ -321,41 +317,6 @@
         self.parts.evacuations.is_evacuated(&self.parts.settings.current().failure_domain)
     }
 
-    /// Takes over what the routing table says of cold targets of the service.
-    fn follow_cold_bound(&self) {
-        let Some(open) = self.open.read().clone() else { return };
-        let Some(routing) = self.parts.routing.current() else { return };
-        let Some(service) = routing.service(&open.view.service) else { return };
-        let bounds = &self.parts.settings.current().bounds;
-        let rate = service.cold_rate_per_1000_s;
-        let bound = ColdBound::new(rate, bounds.cold_excess_percent, bounds.cold_slack);
-        let cold_start = Duration::from_millis(service.cold_start_ms.into());
-        let cold_from = self.cold_from(&open.view, cold_start);
-        open.slots.change(|queue, _| {
-            queue.cold_rate_mut().set_bound(bound);
-            cold_from.into_iter().for_each(|from| queue.cold_rate_mut().set_cold_from(from));
-        });
-    }
-
-    /// Start of the first cold time of `view` that this daemon knows of, at the earliest.
-    ///
-    /// By the time that is left of it and by the start of the process, since the one may be longer than usual
-    /// and the clock of the other may have been set back.
-    fn cold_from(&self, view: &TargetView, cold_start: Duration) -> Option<Instant> {
-        if !view.is_cold || cold_start.is_zero() {
-            return None;
-        }
-        let age = match unix_ms() {
-            Ok(now_ms) => Duration::from_millis(now_ms.saturating_sub(view.life)),
-            Err(error) => {
-                self.parts.events.write(|| ClockUnusable { cause: error.to_string() });
-                return None;
-            }
-        };
-        let born_at = Instant::now().checked_sub(age)?;
-        Some(born_at.min(view.cold_until.checked_sub(cold_start)?))
-    }
-
     fn open_target(&self, view: Arc<TargetView>, cold_rate: ColdRate) -> OpenTarget {
         let slots = WorkSlots::new(view.slots, cold_rate, self.parts.decisions);
         let stop = CancellationToken::new();
--- a/crates/yuccarackd/src/coordination/routed/lines/news.rs
+++ b/crates/yuccarackd/src/coordination/routed/lines/news.rs
@@ -14,7 +14,7 @@
         is_evacuated: bool,
         /// Revision that says so.
         revision: Revision,
-        /// The store, or the daemon that told.
+        /// The store, or the daemon that sent the notice.
         from: String,
     }
 
--- a/crates/yuccarackd/src/protocol/peer_news.rs
+++ b/crates/yuccarackd/src/protocol/peer_news.rs
@@ -189,7 +189,7 @@
         pub members: Vec<DatedMember>,
         /// Whether those are all that there are; others have gone.
         pub is_whole: bool,
-        /// All evacuations that it knows of, those that were taken back among them.
+        /// All evacuations that it knows, with those that were taken back.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub evacuations: Vec<DatedEvacuation>,
         /// Up to where it knows the store's tables; none while the store doesn't answer it.
--- a/crates/yuccarackd/src/state/routed/evacuations.rs
+++ b/crates/yuccarackd/src/state/routed/evacuations.rs
@@ -56,8 +56,8 @@
 
     /// Takes a row in unless a newer one is known; says whether it changes anything.
     ///
-    /// Failure: a peer that lags tells of an evacuation that was taken back, and a failure domain without
-    /// fault gets no work.
+    /// Failure: a peer that lags sends an evacuation that was taken back, and a healthy failure domain gets
+    /// no work.
     pub fn merge(&self, dated: &DatedEvacuation) -> bool {
         let DatedEvacuation { failure_domain, revision, is_evacuated } = dated;
         let state = State { revision: *revision, is_evacuated: *is_evacuated };
@@ -89,7 +89,7 @@
         gone.collect()
     }
 
-    /// All that is known, as another daemon is notified of it.
+    /// All that is known, as other daemons are notified.
     pub fn all(&self) -> Vec<DatedEvacuation> {
         let known = self.inner.known.read();
         let dated = known.iter().map(|(domain, state)| DatedEvacuation {
