A relay passes on an evacuation that it received from a peer

Found by reading and shown by the new test, which failed before: the store leaves the relays of a failure domain without an answer while that domain is evacuated. Lines wake up for evacuations too.

--- a/crates/yuccarackd/src/coordination/routed/relay_lines.rs
+++ b/crates/yuccarackd/src/coordination/routed/relay_lines.rs
@@ -48,6 +48,7 @@
     /// What it doesn't know yet.
     question: NewsQuestion,
     routing: watch::Receiver<u64>,
+    evacuations: watch::Receiver<u64>,
     known: watch::Receiver<KnownTables>,
     source: watch::Receiver<NewsSource>,
     is_first: bool,
@@ -60,9 +61,10 @@
         let parts = peers.parts();
         parts.counters.add("relay.asked");
         let (routing, known) = (parts.routing.subscribe(), parts.news.subscribe_known());
+        let evacuations = parts.evacuations.subscribe();
         let source = parts.news.subscribe();
         let (is_first, has_ended) = (true, false);
-        Self { peers, question, routing, known, source, is_first, has_ended }
+        Self { peers, question, routing, evacuations, known, source, is_first, has_ended }
     }
 
     /// The lines as a body. It is driven by its connection and ends with it.
@@ -130,6 +132,7 @@
             tokio::select! {
                 () = leaving.cancelled() => {}
                 _ = self.routing.changed() => {}
+                _ = self.evacuations.changed() => {}
                 _ = self.known.changed() => {}
                 _ = self.source.changed() => {}
             }
--- a/crates/yuccarackd/tests/routed/evacuation.rs
+++ b/crates/yuccarackd/tests/routed/evacuation.rs
@@ -75,6 +75,35 @@
     }
 }
 
+/// Guards against daemons that go on sending because their relays, which a silent store leaves without an
+/// answer, have received an evacuation from relays of other domains and don't pass it on.
+#[tokio::test]
+async fn daemons_whose_relays_have_no_answer_of_the_store_follow_an_evacuation() {
+    let services = ["board"; 12];
+    let deployment = deployed("evacuatedrelays", &services).await;
+    let domain: Vec<usize> = (0..services.len()).step_by(3).collect();
+    for at in &domain {
+        deployment.instances[*at].door.set(DoorMode::Silent);
+    }
+    deployment.store.put("op", ROW, b"{}");
+    let there = || domain.iter().map(|at| deployment.instances[*at].target.requests()).sum::<u64>();
+    let is_in_force = || async {
+        let before = there();
+        for at in &domain {
+            let call = Call::read(READS, "/r/1", &format!("s{at}"));
+            let told = ask(deployment.instances[*at].call_address(), &call).await;
+            assert_eq!(told.expect("an answer").status, StatusCode::OK);
+        }
+        there() == before
+    };
+    let waited = wait("the evacuation in force at all daemons", is_in_force);
+    tokio::time::timeout(IN_FORCE_MAX, waited).await.expect("in force in time");
+    // One round without a request there may be luck.
+    for _ in 0..10 {
+        assert!(is_in_force().await);
+    }
+}
+
 /// Guards against an evacuation that is lost with a daemon's process.
 #[tokio::test]
 async fn a_daemon_that_restarts_in_an_evacuated_domain_lets_nothing_in() {
