--- a/crates/yuccarackd/tests/routed/evacuation.rs
+++ b/crates/yuccarackd/tests/routed/evacuation.rs
@@ -96,9 +96,8 @@
         }
         there() == before
     };
-    let waited = wait("the evacuation in force at all daemons", is_in_force);
-    tokio::time::timeout(IN_FORCE_MAX, waited).await.expect("in force in time");
-    // One round without a request there may be luck.
+    // A round without a request there may be luck, so that none tells when it is in force.
+    tokio::time::sleep(IN_FORCE_MAX).await;
     for _ in 0..10 {
         assert!(is_in_force().await);
     }
