Gate: decodes, logs and counts the rate limit and the departure that a target announces

Cause of the blindness: no line and no metric had what a target announces, so that logs couldn't tell a limit that nobody reads from one that is read and not applied, or from one that each entry applies by itself. Change: platform/ decodes Server-Limit (a decimal number) and Server-Leaving, with or without the platform's prefix; the gate records them from each response to a request or health check and writes target_limit_changed, target_limit_rejected, target_announced_leaving, two gauges and two counters. Nothing acts on them yet. A limit ends only with the response to a request sent after it was last announced, as responses that arrive together may be read in any order.

--- a/crates/yuccarack_config/src/lib.rs
+++ b/crates/yuccarack_config/src/lib.rs
@@ -3,6 +3,7 @@
 #[macro_use]
 mod derives;
 
+pub mod announcement;
 pub mod decisions;
 pub mod errors;
 pub mod headers;
--- a/crates/yuccarack_policy/src/lib.rs
+++ b/crates/yuccarack_policy/src/lib.rs
@@ -13,7 +13,8 @@
 //! - Routed calls, where the host and path of the request lead to the service. The entry chooses a
 //!   gate with [`placement`], divides a route over several services by [`split`], and limits what
 //!   it sends by [`extra_attempts`], [`adaptive_throttle`] and [`prior_wait`]. The gate queues
-//!   requests in [`work_queue`], which uses [`cold_rate`] and [`slowdown`]; it checks its target by
+//!   requests in [`work_queue`], which uses [`cold_rate`], [`rate_limit`] and
+//!   [`slowdown`]; it checks its target by
 //!   [`health_checks`] and counts crashes in [`crash_counts`]. [`relays`] and
 //!   [`unreachable_members`] limit the control traffic and the list of members.
 //!
@@ -33,6 +34,7 @@
 pub mod measuring;
 pub mod placement;
 pub mod prior_wait;
+pub mod rate_limit;
 pub mod relays;
 pub mod retry;
 pub mod slowdown;
--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -35,7 +35,7 @@
     service_times::ServiceTimeEstimates,
     waiting::{PriorityKey, WaitingRequest, priority_key},
 };
-use crate::{cold_rate::ColdRate, slowdown::SlowdownEstimate};
+use crate::{cold_rate::ColdRate, rate_limit::RateLimit, slowdown::SlowdownEstimate};
 
 new_key_type! {
     /// Key of a running request; it must be released exactly once.
@@ -94,6 +94,7 @@
     service_times: ServiceTimeEstimates,
     slowdown: SlowdownEstimate,
     cold_rate: ColdRate,
+    rate_limit: RateLimit,
     finished_waits: Vec<WaitResult>,
     is_draining: bool,
     decisions: FeatureSwitches,
@@ -109,6 +110,7 @@
             service_times: ServiceTimeEstimates::new(),
             slowdown: SlowdownEstimate::new(),
             cold_rate: ColdRate::default(),
+            rate_limit: RateLimit::new(),
             finished_waits: Vec::new(),
             is_draining: false,
             decisions: FeatureSwitches::default(),
@@ -144,6 +146,16 @@
         &mut self.cold_rate
     }
 
+    /// Returns the rate limit that the target announces.
+    pub fn rate_limit(&self) -> &RateLimit {
+        &self.rate_limit
+    }
+
+    /// Returns the same rate limit, for recording what the target announces.
+    pub fn rate_limit_mut(&mut self) -> &mut RateLimit {
+        &mut self.rate_limit
+    }
+
     /// Records a slowdown that the target reported; 1.0 is the usual service time.
     pub fn record_slowdown(&mut self, now: Instant, slowdown: f64) {
         self.slowdown.record(now, slowdown);
--- a/crates/yuccarackd/src/coordination/routed/events.rs
+++ b/crates/yuccarackd/src/coordination/routed/events.rs
@@ -21,6 +21,8 @@
     GateRefused,
     /// A heartbeat or leave of the target.
     Heartbeat,
+    /// The rate limit of the target changed or can't be read.
+    TargetLimit,
     /// Another instance serves something else than before.
     MemberChanged,
     /// A routing table could not be fetched.
@@ -29,12 +31,13 @@
     Relay,
 }
 
-const EVENT_KINDS: [EventKind; 8] = [
+const EVENT_KINDS: [EventKind; 9] = [
     EventKind::CallSucceeded,
     EventKind::CallFailed,
     EventKind::AttemptEnded,
     EventKind::GateRefused,
     EventKind::Heartbeat,
+    EventKind::TargetLimit,
     EventKind::MemberChanged,
     EventKind::RoutingNotFetched,
     EventKind::Relay,
@@ -48,6 +51,7 @@
             Self::AttemptEnded => "try_ended",
             Self::GateRefused => "gate_refused",
             Self::Heartbeat => "heartbeat",
+            Self::TargetLimit => "target_limit",
             Self::MemberChanged => "member_changed",
             Self::RoutingNotFetched => "routing_not_read",
             Self::Relay => "relay",
@@ -62,7 +66,11 @@
             Self::CallSucceeded => 5.0,
             Self::CallFailed => 60.0,
             Self::AttemptEnded | Self::GateRefused => 40.0,
-            Self::Heartbeat | Self::MemberChanged | Self::RoutingNotFetched | Self::Relay => 5.0,
+            Self::Heartbeat
+            | Self::TargetLimit
+            | Self::MemberChanged
+            | Self::RoutingNotFetched
+            | Self::Relay => 5.0,
         }
     }
 }
--- a/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
@@ -2,10 +2,11 @@
 
 use std::{sync::Arc, time::Instant};
 
-use http::Response;
+use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use tokio::time::timeout_at;
 use yuccarack_platform_wire::{headers, load};
+use yuccarack_policy::rate_limit::ReportSource;
 
 use super::{ActiveTarget, Gate, GateRequest, is_encoded, work_slots::SlotLease};
 use crate::{
@@ -50,6 +51,11 @@
         };
         self.gate.parts.metrics.observe_first_byte(dispatched_at.elapsed());
         self.record_slowdown(&response);
+        // 421 is the response of another target at the same address.
+        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+            let (gate, source) = (self.gate, ReportSource::Request);
+            gate.record_announcement(self.active, dispatched_at, source, response.headers());
+        }
         if headers::confirms_not_run(response.status(), response.headers()) {
             return Err(
                 Refusal::not_run(Reason::Shed).with_retry_after(super::UNAVAILABLE_RETRY_AFTER)
--- a/crates/yuccarackd/src/coordination/routed/gate/health_checks.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/health_checks.rs
@@ -13,6 +13,7 @@
 use yuccarack_platform_wire::{headers, load};
 use yuccarack_policy::{
     health_checks::{HEALTH_CHECK_TIMEOUT, HealthCheckResult, HealthCheckSchedule},
+    rate_limit::ReportSource,
     work_queue::WorkQueue,
 };
 
@@ -117,13 +118,17 @@
 }
 
 async fn fetch_report(gate: &Gate, active: &ActiveTarget, path: &str) -> Option<HealthReport> {
-    let address = active.view.address;
+    let (address, sent_at) = (active.view.address, Instant::now());
     let host = HeaderValue::from_str(&address.to_string()).ok()?;
     let request = Request::get(path).header(header::HOST, host).body(body::empty()).ok()?;
     let response =
         gate.health_check_upstream.send(address, request, Freshness::Pooled).await.ok()?;
     // After a restart another target may listen on the address.
     let is_own = response.headers().get(headers::TARGET)? == active.view.target.as_str();
+    if is_own {
+        let source = ReportSource::HealthCheck;
+        gate.record_announcement(active, sent_at, source, response.headers());
+    }
     let slowdown_percent = load::decode(response.headers()).and_then(|load| load.pace_percent);
     let cold_for = load::decode_cold_for(response.headers());
     // The body is read to its end so that the connection can be used again.
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -1,5 +1,6 @@
 //! The gate of one target, which all routed requests to the target pass through.
 
+mod announcements;
 mod cold;
 mod crash_tracker;
 mod exchange;
@@ -114,6 +115,8 @@
     slots: WorkSlots,
     stop: CancellationToken,
     is_unreachable: AtomicBool,
+    /// Whether a response of the target has announced that it leaves.
+    has_announced_leaving: AtomicBool,
     idle_drops: IdleDropTracker,
 }
 
@@ -345,6 +348,7 @@
             slots,
             stop,
             is_unreachable: AtomicBool::new(false),
+            has_announced_leaving: AtomicBool::new(false),
             idle_drops: IdleDropTracker::default(),
         }
     }
--- a/crates/yuccarackd/src/coordination/routed/log_lines/targets.rs
+++ b/crates/yuccarackd/src/coordination/routed/log_lines/targets.rs
@@ -42,6 +42,42 @@
         is_present: bool,
     }
 
+    /// A response of the target announces that it leaves.
+    TargetAnnouncedLeaving = "target_announced_leaving",
+        "target announced in a response that it leaves", Info, None;
+    {
+        /// Name of the target.
+        target: String,
+        /// Incarnation that leaves.
+        life: TargetIncarnation,
+    }
+
+    /// The rate limit that the target announces with its responses changed.
+    TargetLimitChanged = "target_limit_changed", "rate limit of the target changed", Info,
+        Some(EventKind::TargetLimit);
+    {
+        /// Name of the target.
+        target: String,
+        /// Incarnation of the target.
+        life: TargetIncarnation,
+        /// Requests per 1,000 seconds; unset if the limit ended.
+        limit_per_1000_s: Option<u32>,
+        /// The same before the change.
+        previous_per_1000_s: Option<u32>,
+        /// Whether a health check reported it.
+        by_health_check: bool,
+    }
+
+    /// A rate limit that the target announced could not be parsed; the one before stays.
+    TargetLimitRejected = "target_limit_rejected", "unreadable rate limit of the target rejected",
+        Warning, Some(EventKind::TargetLimit);
+    {
+        /// Name of the target.
+        target: String,
+        /// Limit that stays in force, in requests per 1,000 seconds.
+        limit_per_1000_s: Option<u32>,
+    }
+
     /// A target is ready and receives requests.
     TargetAdmitted = "target_taken_in", "target admitted", Info, None;
     {
--- a/crates/yuccarackd/src/daemon/routed/assembly.rs
+++ b/crates/yuccarackd/src/daemon/routed/assembly.rs
@@ -267,6 +267,17 @@
         self.metrics.register_gauge("gates_unreachable", help, move || {
             gauge_value(gauge_entry.unreachable_gates())
         });
+        let (limited_gate, leaving_gate) = (Arc::clone(gate), Arc::clone(gate));
+        self.metrics.register_gauge(
+            "target_rate_limit_per_1000_seconds",
+            "Requests in 1,000 seconds that the own target takes; -1 without a limit.",
+            move || limited_gate.rate_limit().map_or(-1, |rate| rate.per_1000_s().into()),
+        );
+        self.metrics.register_gauge(
+            "target_announced_leaving",
+            "Whether a response of the own target announced that it leaves, 1 or 0.",
+            move || i64::from(leaving_gate.has_announced_leaving()),
+        );
         // Counts the members whose service is known.
         let help = "Instances that say what they serve.";
         self.metrics
