--- a/crates/yuccarackd/tests/routed/leaving.rs
+++ b/crates/yuccarackd/tests/routed/leaving.rs
@@ -38,6 +38,17 @@
     assert_eq!(reads_at_first(&deployment, "b", 20).await, 0);
 }
 
+/// Guards against requests to a target that announces with its responses that it leaves, while its
+/// heartbeats still report that it is ready.
+#[tokio::test]
+async fn a_target_that_announces_in_a_response_that_it_leaves_receives_no_more_requests() {
+    let deployment = deployed("says", &["board", "board"]).await;
+    deployment.instances[0].target.announce_leaving();
+    assert!(reads_at_first(&deployment, "a", 10).await > 0);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(reads_at_first(&deployment, "b", 20).await, 0);
+}
+
 #[tokio::test]
 async fn a_target_that_left_receives_no_more_requests() {
     let mut deployment = deployed("left", &["board", "board"]).await;
--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -9,6 +9,7 @@
 mod homes;
 mod large_tables;
 mod leaving;
+mod limits;
 mod path;
 mod pipelining;
 mod recovery;
