LIMIT: a gate admits no more than the rate limit that its target announces, and entries choose by it

Cause: nothing read the header Server-Limit; the gate admitted by its own count of slots and passed the header on. The fault's class: what a target asks for is known in one place and not obeyed where work is sent.

Change: the gate's queue spaces dispatches evenly by the announced rate (generic cell rate algorithm, 250 ms ahead at most). All requests to a target pass its gate, so its count needs no coordination. A request that may not wait, or whose turn would miss its soft deadline, is refused at once as rate_limited with the time of its turn; the waiting ones are checked again when the limit falls or others overtake them. Gates report rate and wait in their status header, and entries send first attempts to gates with room. Health checks of a limited target come at most once a second, and they or a trial request each 5 s show when a limit of zero ends. A gate that knows no response of its target yet runs 3 requests at once, so that a restart beside a limited target doesn't fill all slots before the limit is known again.

--- a/crates/yuccarack_player/src/routed/queue.rs
+++ b/crates/yuccarack_player/src/routed/queue.rs
@@ -203,6 +203,8 @@
             limit: u16::try_from(queue.effective_limit(now)).unwrap_or(u16::MAX),
             mean_service_time: queue.mean_service_time(),
             slowdown: queue.slowdown().at(now),
+            rate_limit: queue.rate_limit().rate(),
+            admits_in: queue.rate_limit_turn_in(now),
         })
     }
 }
--- a/crates/yuccarack_policy/src/placement/gate.rs
+++ b/crates/yuccarack_policy/src/placement/gate.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use yuccarack_config::announcement::RequestRate;
+
 use crate::slowdown::SlowdownEstimate;
 
 /// Load that a gate reports with each response.
@@ -17,6 +19,10 @@
     pub mean_service_time: Duration,
     /// Current slowdown; 1.0 is the usual service time.
     pub slowdown: f64,
+    /// Rate limit that the target announces; `None` without one.
+    pub rate_limit: Option<RequestRate>,
+    /// Time until the rate limit has room for a further request; zero without a limit.
+    pub admits_in: Duration,
 }
 
 /// Outcome of an attempt at a gate, as far as the gate or its target is responsible.
@@ -152,7 +158,16 @@
         let unloaded_time = self.load.map_or(mean_service_time, |(load, _)| load.mean_service_time);
         let service_time = self.slowdown.service_time(now, unloaded_time);
         let rounds = (self.excess(now).max(0.0)) / self.limit();
-        service_time + service_time.mul_f64(rounds)
+        service_time + service_time.mul_f64(rounds) + self.rate_limit_wait(now)
+    }
+
+    /// Returns how long a request that is sent now waits for the target's rate limit, counting the
+    /// requests that this entry has sent since the latest load report.
+    pub fn rate_limit_wait(&self, now: Instant) -> Duration {
+        let Some((load, reported_at)) = self.load else { return Duration::ZERO };
+        let Some(rate) = load.rate_limit else { return Duration::ZERO };
+        let sent = rate.interval().unwrap_or_default() * u32::from(self.sent_since_report);
+        (reported_at + load.admits_in + sent).saturating_duration_since(now)
     }
 
     fn limit(&self) -> f64 {
--- a/crates/yuccarack_policy/src/placement/mod.rs
+++ b/crates/yuccarack_policy/src/placement/mod.rs
@@ -158,8 +158,10 @@
         let allowed = || self.gates.iter().filter(|(key, _)| !history.excluded.contains(key));
         let available = || allowed().filter(|(_, gate)| !gate.is_unavailable(now));
         let untried = || available().filter(|(key, _)| !history.attempted.contains(key));
+        // A gate whose rate limit has no room now would only refuse a request that may not wait.
+        let open = untried().filter(|(_, gate)| gate.rate_limit_wait(now).is_zero());
         if history.attempted.len() < ATTEMPTS_WITHOUT_WAIT
-            && let Some(gate) = self.best_candidate(now, untried(), rng, mean_service_time)
+            && let Some(gate) = self.best_candidate(now, open, rng, mean_service_time)
         {
             let may_wait = available().count() == 1 || self.is_known_full(now, gate);
             return Some(PlacementChoice { gate, may_wait });
--- a/crates/yuccarack_policy/src/work_queue/decision.rs
+++ b/crates/yuccarack_policy/src/work_queue/decision.rs
@@ -40,6 +40,8 @@
     Full,
     /// The target is cold and at its rate limit, and the request may not wait.
     Cold,
+    /// The target announces a rate limit, which leaves no room for the request in time.
+    RateLimited,
     /// The target is currently slow, and the request may not wait.
     Slow,
     /// The request could not be completed before its deadline.
@@ -56,6 +58,7 @@
         match self {
             Self::Full => "full",
             Self::Cold => "cold",
+            Self::RateLimited => "rate_limited",
             Self::Slow => "slow",
             Self::CannotEndInTime => "cannot_end_in_time",
             Self::TooLate => "too_late",
--- a/crates/yuccarack_policy/src/work_queue/estimates.rs
+++ b/crates/yuccarack_policy/src/work_queue/estimates.rs
@@ -8,10 +8,10 @@
 const COLD_SLOWDOWN: f64 = 2.0;
 
 impl WorkQueue {
-    /// Returns the concurrency limit, lowered for a cold target to the number of slots that its
-    /// rate limit can keep busy.
+    /// Returns the concurrency limit, lowered for a cold or limited target to the number of slots
+    /// that its rate limit can keep busy.
     pub fn effective_limit(&self, now: Instant) -> usize {
-        let Some(interval) = self.cold_rate.interval(now) else { return self.limit() };
+        let Some(interval) = self.dispatch_interval(now) else { return self.limit() };
         let service_time = self.with_slowdown(now, self.service_times.mean());
         let concurrency = service_time.div_duration_f64(interval) as usize;
         concurrency.clamp(1, self.limit())
@@ -21,12 +21,17 @@
         let slot_interval =
             self.slowdown.service_time(now, self.service_times.mean()).div_f64(self.limit() as f64);
         let slot_interval = self
-            .cold_rate
-            .interval(now)
+            .dispatch_interval(now)
             .map_or(slot_interval, |interval| interval.max(slot_interval));
         slot_interval.mul_f64((ahead + 1) as f64)
     }
 
+    /// Returns the mean time between two dispatches by the rate limits in force; `None` without
+    /// one.
+    fn dispatch_interval(&self, now: Instant) -> Option<Duration> {
+        self.cold_rate.interval(now).max(self.rate_limit.interval())
+    }
+
     pub(super) fn service_time(&self, now: Instant, kind: u64) -> Duration {
         self.with_slowdown(now, self.service_times.mean_of(kind))
     }
--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -15,9 +15,14 @@
 //! admitting it first delays the others little. So short requests go first and may wait until their
 //! deadline. A cold target is limited by the number of requests rather than by their time, so it
 //! gets the most urgent ones first.
+//!
+//! A target that announces a rate limit gets no more than that. A request beyond the limit waits
+//! only if its turn comes in time for its soft deadline; all others are rejected at once, with the
+//! time of their turn.
 
 mod decision;
 mod estimates;
+mod rate_limited;
 mod request;
 mod service_times;
 mod waiting;
@@ -35,7 +40,11 @@
     service_times::ServiceTimeEstimates,
     waiting::{PriorityKey, WaitingRequest, priority_key},
 };
-use crate::{cold_rate::ColdRate, rate_limit::RateLimit, slowdown::SlowdownEstimate};
+use crate::{
+    cold_rate::ColdRate,
+    rate_limit::{CONCURRENCY_BEFORE_REPORT, RateLimit},
+    slowdown::SlowdownEstimate,
+};
 
 new_key_type! {
     /// Key of a running request; it must be released exactly once.
@@ -130,6 +139,12 @@
         self
     }
 
+    /// Replaces the rate limit that the target announces.
+    pub fn with_rate_limit(mut self, rate_limit: RateLimit) -> Self {
+        self.rate_limit = rate_limit;
+        self
+    }
+
     /// Sets the number of slots that the target announces, and starts waiting requests if it grew.
     pub fn set_slots(&mut self, now: Instant, slots: u16) {
         self.slots = slots;
@@ -168,7 +183,8 @@
 
     /// Returns the largest number of requests that run at once.
     pub fn limit(&self) -> usize {
-        ((f64::from(self.slots) * SLOT_UTILIZATION_MAX) as usize).max(1)
+        let limit = ((f64::from(self.slots) * SLOT_UTILIZATION_MAX) as usize).max(1);
+        if self.rate_limit.is_unreported() { limit.min(CONCURRENCY_BEFORE_REPORT) } else { limit }
     }
 
     /// Returns the number of running requests.
@@ -198,7 +214,8 @@
             self.service_times.assume(request.kind, soft_time_left.mul_f64(ASSUMED_SERVICE_SHARE));
         }
         let has_slot = self.running.len() < self.limit();
-        let has_room = has_slot && self.cold_rate.next_dispatch_at(now).is_none();
+        let is_limited = self.is_rate_limited(now);
+        let has_room = has_slot && !is_limited && self.cold_rate.next_dispatch_at(now).is_none();
         let may_pass_on = self.decisions.slow_passed_over && !request.may_wait;
         if has_room && may_pass_on && self.slowdown.at(now) >= PASS_ON_SLOWDOWN {
             return self.refused(now, QueueRefusalReason::Slow);
@@ -207,13 +224,20 @@
             return QueueDecision::Run(self.start(now, request.kind));
         }
         if !request.may_wait {
-            let reason = if has_slot { QueueRefusalReason::Cold } else { QueueRefusalReason::Full };
+            let reason = match (has_slot, is_limited) {
+                (_, true) => QueueRefusalReason::RateLimited,
+                (true, false) => QueueRefusalReason::Cold,
+                (false, false) => QueueRefusalReason::Full,
+            };
             return self.refused(now, reason);
         }
-        match self.check_wait(now, &request) {
-            Ok(()) => QueueDecision::Wait(self.waiting.insert(WaitingRequest { request })),
-            Err(reason) => self.refused(now, reason),
+        if let Err(reason) = self.check_wait(now, &request) {
+            return self.refused(now, reason);
         }
+        let key = self.waiting.insert(WaitingRequest { request });
+        // Requests that it overtakes may have no turn in time any more.
+        self.refuse_rate_limited(now);
+        QueueDecision::Wait(key)
     }
 
     /// Ends a run, which may start waiting requests; `poll` returns these.
@@ -248,6 +272,7 @@
     /// Updates the queue and returns the waits that have ended; each is returned once.
     pub fn poll(&mut self, now: Instant) -> Vec<WaitResult> {
         self.refuse_unservable(now);
+        self.refuse_rate_limited(now);
         self.start_waiting(now);
         std::mem::take(&mut self.finished_waits)
     }
@@ -261,6 +286,9 @@
     /// loop for up to a tenth of a second, which is the whole quota of a daemon with a tenth of a
     /// core.
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
+        if !self.finished_waits.is_empty() {
+            return Some(now + POLL_INTERVAL_MIN);
+        }
         let unservable_at = |waiting: &WaitingRequest| {
             let request = waiting.request;
             let service_time = self.service_time(now, request.kind);
@@ -273,7 +301,9 @@
         };
         let next = self.waiting.values().map(unservable_at).min()?;
         let has_slot = self.running.len() < self.limit();
-        let starts_at = self.cold_rate.next_dispatch_at(now).filter(|_| has_slot);
+        let starts_at =
+            self.cold_rate.next_dispatch_at(now).max(self.rate_limit.next_dispatch_at(now));
+        let starts_at = starts_at.filter(|_| has_slot);
         let next = starts_at.map_or(next, |starts_at| starts_at.min(next));
         Some(next.max(now + POLL_INTERVAL_MIN))
     }
@@ -294,6 +324,7 @@
 
     fn start(&mut self, now: Instant, kind: u64) -> RunningKey {
         self.cold_rate.record_dispatch(now);
+        self.rate_limit.record_dispatch(now);
         self.running.insert(RunningRequest {
             kind,
             started_at: now,
@@ -306,7 +337,11 @@
         let upper_time = self.upper_service_time(now, request.kind);
         let arrived = priority_key(request, self.is_expedited(now, request.kind), now, upper_time);
         let ahead = self.waiting.values().filter(|other| self.priority_of(other, now) <= arrived);
-        let starts_at = now + self.estimated_wait(now, ahead.count());
+        let ahead = ahead.count();
+        if !self.has_turn_in_time(now, request, ahead) {
+            return Err(QueueRefusalReason::RateLimited);
+        }
+        let starts_at = now + self.estimated_wait(now, ahead);
         if starts_at + self.service_time(now, request.kind) > request.deadline {
             return Err(QueueRefusalReason::CannotEndInTime);
         }
@@ -341,7 +376,10 @@
 
     /// Starts waiting requests while there is room.
     fn start_waiting(&mut self, now: Instant) {
-        while self.running.len() < self.limit() && self.cold_rate.next_dispatch_at(now).is_none() {
+        while self.running.len() < self.limit()
+            && self.cold_rate.next_dispatch_at(now).is_none()
+            && self.rate_limit.next_dispatch_at(now).is_none()
+        {
             let Some(key) = self.next_waiting(now) else { return };
             let Some(waiting) = self.waiting.remove(key) else { return };
             let run = self.start(now, waiting.request.kind);
@@ -399,6 +437,7 @@
         let room_in = self.estimated_wait(now, self.waiting.len());
         // A cold target rejects most of its usual load and has room only once it is warm.
         let room_in = room_in.max(self.cold_rate.cold_time_left(now));
-        QueueRefusal { reason, retry_after: room_in.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX) }
+        let retry_after = room_in.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+        QueueRefusal { reason, retry_after: retry_after.max(self.rate_limit_turn_in(now)) }
     }
 }
--- a/crates/yuccarack_policy/tests/placement.rs
+++ b/crates/yuccarack_policy/tests/placement.rs
@@ -10,7 +10,15 @@
 const SERVICE_TIME: Duration = Duration::from_millis(100);
 
 fn load(running: u16, slowdown: f64) -> GateLoad {
-    GateLoad { running, waiting: 0, limit: 7, mean_service_time: SERVICE_TIME, slowdown }
+    GateLoad {
+        running,
+        waiting: 0,
+        limit: 7,
+        mean_service_time: SERVICE_TIME,
+        slowdown,
+        rate_limit: None,
+        admits_in: Duration::ZERO,
+    }
 }
 
 /// Returns how many times `wanted` is chosen out of a hundred.
--- a/crates/yuccarackd/src/coordination/routed/gate/health_checks.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/health_checks.rs
@@ -1,7 +1,7 @@
 //! Health checks of the gate's own target.
 //!
-//! A check queries the slowdown where no response has reported it for a while, and whether the
-//! target is cold.
+//! A check queries the slowdown where no response has reported it for a while, whether the target
+//! is cold, and the rate limit of a target that gets few requests.
 
 use std::{
     sync::Arc,
@@ -67,7 +67,8 @@
     }
 }
 
-/// Returns when the next health check is due, be it for the slowdown or for a cold target.
+/// Returns when the next health check is due: for the slowdown, for a cold target or for the rate
+/// limit. A limited target gets all of them at a low rate.
 fn due_at(
     gate: &Gate,
     schedule: &HealthCheckSchedule,
@@ -80,13 +81,18 @@
     let slowdown_check_at =
         || schedule.due_at(queue.running(), queue.mean_service_time(), queue.slowdown());
     let slowdown_check_at = is_enabled.then(slowdown_check_at).flatten();
-    cold_check_at.into_iter().chain(slowdown_check_at).min()
+    let limit_check_at = queue.rate_limit().health_check_due_at();
+    let due_at = cold_check_at.into_iter().chain(slowdown_check_at).chain(limit_check_at).min();
+    due_at.max(queue.rate_limit().health_check_allowed_at().filter(|_| due_at.is_some()))
 }
 
 /// Runs one health check and updates the queue's slowdown and cold period.
 async fn check(gate: &Gate, active: &ActiveTarget) -> HealthCheckResult {
     let sent_at = Instant::now();
-    active.slots.change(|queue, now| queue.cold_rate_mut().record_health_check(now));
+    active.slots.change(|queue, now| {
+        queue.cold_rate_mut().record_health_check(now);
+        queue.rate_limit_mut().record_health_check(now);
+    });
     let Some(path) = gate.health_check_path(active) else { return HealthCheckResult::Unreported };
     gate.parts.counters.add("gate.pace_looks");
     let report = match timeout_at(
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -183,6 +183,8 @@
             limit: 1,
             mean_service_time: Duration::ZERO,
             slowdown: 1.0,
+            rate_limit: None,
+            admits_in: Duration::ZERO,
         };
         GateStatus { load: load.unwrap_or(idle), routing_version: self.parts.routing.version() }
     }
--- a/crates/yuccarackd/src/coordination/routed/gate/work_slots.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/work_slots.rs
@@ -9,6 +9,7 @@
 use yuccarack_policy::{
     cold_rate::ColdRate,
     placement::GateLoad,
+    rate_limit::RateLimit,
     work_queue::{
         QueueDecision, QueueRefusal, QueueRefusalReason, RunningKey, WaitResult, WaitingKey,
         WorkOutcome, WorkQueue, WorkRequest,
@@ -47,7 +48,10 @@
     /// Creates the queue of a target that runs `slots` requests at once; `decisions` are the
     /// feature switches of the queue.
     pub fn new(slots: u16, cold_rate: ColdRate, decisions: FeatureSwitches) -> Self {
-        let queue = WorkQueue::new(slots).with_decisions(decisions).with_cold_rate(cold_rate);
+        let queue = WorkQueue::new(slots)
+            .with_decisions(decisions)
+            .with_cold_rate(cold_rate)
+            .with_rate_limit(RateLimit::unreported());
         let state = State { queue, waiting: HashMap::new() };
         Self {
             shared: Arc::new(Shared {
@@ -105,6 +109,8 @@
             limit: saturating_u16(queue.effective_limit(now)),
             mean_service_time: queue.mean_service_time(),
             slowdown: queue.slowdown().at(now),
+            rate_limit: queue.rate_limit().rate(),
+            admits_in: queue.rate_limit_turn_in(now),
         }
     }
 
@@ -145,7 +151,11 @@
 impl Shared {
     fn notify_health_check_due(&self, queue: &WorkQueue) {
         let now = Instant::now();
-        if queue.cold_rate().health_check_due_at(now).is_some_and(|due_at| due_at <= now) {
+        // A limited target may get no further request that would wake the health checks.
+        let is_limited = queue.rate_limit().health_check_due_at().is_some();
+        if is_limited
+            || queue.cold_rate().health_check_due_at(now).is_some_and(|due_at| due_at <= now)
+        {
             self.health_check_due.notify_one();
         }
     }
--- a/crates/yuccarackd/src/protocol/gate_status.rs
+++ b/crates/yuccarackd/src/protocol/gate_status.rs
@@ -5,7 +5,7 @@
 use std::{str::FromStr, time::Duration};
 
 use thiserror::Error;
-use yuccarack_config::routing::RoutingVersion;
+use yuccarack_config::{announcement::RequestRate, routing::RoutingVersion};
 use yuccarack_policy::placement::GateLoad;
 
 /// Name of the header.
@@ -27,11 +27,18 @@
 
 impl std::fmt::Display for GateStatus {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let GateLoad { running, waiting, limit, mean_service_time, slowdown } = self.load;
+        let GateLoad { running, waiting, limit, mean_service_time, slowdown, .. } = self.load;
         let (service_us, slowdown_percent) =
             (mean_service_time.as_micros(), (slowdown * 100.0).round());
         write!(f, "{running},{waiting},{limit},{service_us},{slowdown_percent},")?;
-        write!(f, "{}", self.routing_version)
+        write!(f, "{}", self.routing_version)?;
+        // Daemons of an earlier version ignore further fields.
+        match self.load.rate_limit {
+            Some(rate) => {
+                write!(f, ",{},{}", rate.per_1000_s(), self.load.admits_in.as_micros())
+            }
+            None => Ok(()),
+        }
     }
 }
 
@@ -41,14 +48,21 @@
     fn from_str(text: &str) -> Result<Self, GateStatusError> {
         let mut fields = text.split(',');
         let mut next = || fields.next().ok_or(GateStatusError);
-        let load = GateLoad {
+        let mut load = GateLoad {
             running: value(next()?)?,
             waiting: value(next()?)?,
             limit: value(next()?)?,
             mean_service_time: Duration::from_micros(value(next()?)?),
             slowdown: f64::from(value::<u32>(next()?)?) / 100.0,
+            rate_limit: None,
+            admits_in: Duration::ZERO,
         };
-        Ok(Self { load, routing_version: value(next()?)? })
+        let routing_version = value(next()?)?;
+        if let Ok(rate) = next() {
+            load.rate_limit = Some(RequestRate::new(value(rate)?));
+            load.admits_in = Duration::from_micros(value(next()?)?);
+        }
+        Ok(Self { load, routing_version })
     }
 }
 
--- a/crates/yuccarackd/src/protocol/refusal.rs
+++ b/crates/yuccarackd/src/protocol/refusal.rs
@@ -105,7 +105,7 @@
 
 impl Reason {
     /// Reasons that a gate may give for a routed request.
-    const SENT_BY_GATES: [Self; 18] = [
+    const SENT_BY_GATES: [Self; 19] = [
         Self::BadRequest,
         Self::NotReady,
         Self::Draining,
@@ -121,6 +121,7 @@
         Self::Admission(QueueRefusalReason::Full.as_str()),
         Self::Admission(QueueRefusalReason::Slow.as_str()),
         Self::Admission(QueueRefusalReason::Cold.as_str()),
+        Self::Admission(QueueRefusalReason::RateLimited.as_str()),
         Self::Admission(QueueRefusalReason::CannotEndInTime.as_str()),
         Self::Admission(QueueRefusalReason::TooLate.as_str()),
         Self::Admission(QueueRefusalReason::Draining.as_str()),
--- a/crates/yuccarackd/tests/routed/limits.rs
+++ b/crates/yuccarackd/tests/routed/limits.rs
@@ -86,3 +86,145 @@
     let most = most_in_window(&deployment, 0, from);
     assert!((1..=allowed(10.5)).contains(&most), "{most} requests in {WINDOW:?}");
 }
+
+/// Returns the rule's count for `instance` under load for one window after its limit is known.
+async fn most_under_load(deployment: &Deployment, instance: usize) -> usize {
+    let from = Instant::now();
+    send_load(deployment, WINDOW).await;
+    most_in_window(deployment, instance, from)
+}
+
+/// Guards against a limit that falls and is applied late, and against one that stays in force after
+/// it has risen or ended.
+#[tokio::test]
+async fn limits_that_fall_rise_and_end_are_followed() {
+    let deployment = deploy("change", 2).await;
+    let target = &deployment.instances[0].target;
+    target.announce_limit(Some("40"));
+    send_load(&deployment, PASS_ON_TIME).await;
+    target.announce_limit(Some("2.5"));
+    send_load(&deployment, PASS_ON_TIME).await;
+    let low = most_under_load(&deployment, 0).await;
+    assert!((1..=allowed(2.5)).contains(&low), "{low} requests at 2.5 a second");
+    target.announce_limit(Some("20"));
+    send_load(&deployment, 2 * PASS_ON_TIME).await;
+    let risen = most_under_load(&deployment, 0).await;
+    assert!((40..=allowed(20.0)).contains(&risen), "{risen} requests at 20 a second");
+    target.announce_limit(None);
+    send_load(&deployment, 2 * PASS_ON_TIME).await;
+    let ended = most_under_load(&deployment, 0).await;
+    assert!(ended > allowed(20.0), "{ended} requests without a limit");
+}
+
+/// Guards against a garbled limit that counts as none.
+#[tokio::test]
+async fn a_garbled_limit_leaves_the_one_before_in_force() {
+    let deployment = deploy("garbled", 2).await;
+    let target = &deployment.instances[0].target;
+    target.announce_limit(Some("5"));
+    send_load(&deployment, PASS_ON_TIME).await;
+    for text in ["five", "-1", "NaN"] {
+        target.announce_limit(Some(text));
+        let most = most_under_load(&deployment, 0).await;
+        assert!((1..=allowed(5.0)).contains(&most), "{most} requests after {text:?}");
+    }
+}
+
+/// Guards against requests to a target that takes none, and against one that is never asked again.
+#[tokio::test]
+async fn a_target_that_takes_no_requests_gets_some_again_when_its_limit_ends() {
+    for is_in_health_checks in [true, false] {
+        let deployment = deploy("zero", 2).await;
+        let target = &deployment.instances[0].target;
+        target.announce_in_health_checks(is_in_health_checks);
+        target.announce_limit(Some("0"));
+        send_load(&deployment, PASS_ON_TIME).await;
+        let most = most_under_load(&deployment, 0).await;
+        assert!(most <= 1, "{most} requests at a limit of 0");
+        let health_checks = target.health_checks();
+        assert!((2..=6).contains(&health_checks), "{health_checks} health checks");
+        target.announce_limit(None);
+        send_load(&deployment, Duration::from_secs(6)).await;
+        let ended = most_under_load(&deployment, 0).await;
+        assert!(ended > 100, "{ended} requests without a limit");
+    }
+}
+
+/// Guards against a limit below one a second that lets one through each second.
+#[tokio::test]
+async fn a_limit_below_one_a_second_is_kept() {
+    let deployment = deploy("half", 2).await;
+    deployment.instances[0].target.announce_limit(Some("0.5"));
+    send_load(&deployment, PASS_ON_TIME).await;
+    let most = most_under_load(&deployment, 0).await;
+    assert!((1..=3).contains(&most), "{most} requests at 0.5 a second");
+}
+
+/// Guards against requests at a limited service that wait out their deadline, and against a
+/// `Retry-After` after which the limit has no room either.
+#[tokio::test]
+async fn a_service_whose_targets_are_all_limited_refuses_at_once() {
+    let deployment = deploy("all", 3).await;
+    let limits = [4.0, 7.0, 0.5];
+    for (instance, limit) in deployment.instances.iter().zip(limits) {
+        instance.target.announce_limit(Some(&limit.to_string()));
+    }
+    send_load(&deployment, PASS_ON_TIME).await;
+    let from = Instant::now();
+    let responses = send_load(&deployment, WINDOW).await;
+    for (instance, limit) in limits.into_iter().enumerate() {
+        let most = most_in_window(&deployment, instance, from);
+        assert!((1..=allowed(limit)).contains(&most), "{most} requests at {limit} a second");
+    }
+    let (answered, refused): (Vec<_>, Vec<_>) =
+        responses.iter().partition(|(response, _)| response.status.is_success());
+    let least = (limits.iter().sum::<f64>() * WINDOW.as_secs_f64() * 0.8) as usize;
+    assert!(answered.len() >= least, "only {} of {least} answered", answered.len());
+    assert!(refused.len() > answered.len(), "too little load: {} refused", refused.len());
+    for (response, _) in &refused {
+        assert_eq!(response.status, 503);
+        let retry_after: f64 = response.header("retry-after").parse().expect("a number");
+        assert!((0.05..=2.1).contains(&retry_after), "{retry_after}");
+    }
+    let mut times: Vec<Duration> = refused.iter().map(|(_, time)| *time).collect();
+    times.sort_unstable();
+    let longest = times[times.len() - 1];
+    assert!(longest < Duration::from_millis(600), "a refusal took {longest:?}");
+    let median = times[times.len() / 2];
+    assert!(median < Duration::from_millis(100), "refusals took {median:?}");
+}
+
+/// Guards against a gate that forgets the limit with a restart and fills its target until the first
+/// response.
+#[tokio::test]
+async fn a_limit_is_kept_across_restarts_of_the_gate_and_of_an_entry() {
+    let mut deployment = deploy("gates", 3).await;
+    deployment.instances[0].target.set_behaviour(Behaviour::Respond(Duration::from_millis(200)));
+    deployment.instances[0].target.announce_limit(Some("1"));
+    send_load(&deployment, 3 * PASS_ON_TIME).await;
+    let from = Instant::now();
+    for instance in [0, 1] {
+        deployment.instances[instance].kill_daemon();
+        deployment.instances[instance].start_daemon().await.expect("a daemon");
+        deployment.instances[instance].start_heartbeats();
+        send_load(&deployment, WINDOW / 2).await;
+    }
+    let most = most_in_window(&deployment, 0, from);
+    assert!((1..=allowed(1.0)).contains(&most), "{most} requests in {WINDOW:?}");
+}
+
+/// Guards against a restarted target that is held to the limit of the process before it.
+#[tokio::test]
+async fn a_restarted_target_is_not_limited_until_it_announces_that() {
+    let mut deployment = deploy("targets", 2).await;
+    deployment.instances[0].target.announce_limit(Some("0.5"));
+    send_load(&deployment, PASS_ON_TIME).await;
+    deployment.instances[0].restart_target().await.expect("a target");
+    send_load(&deployment, 2 * PASS_ON_TIME).await;
+    let most = most_under_load(&deployment, 0).await;
+    assert!(most > 100, "{most} requests without a limit");
+    deployment.instances[0].target.announce_limit(Some("3"));
+    send_load(&deployment, PASS_ON_TIME).await;
+    let most = most_under_load(&deployment, 0).await;
+    assert!((1..=allowed(3.0)).contains(&most), "{most} requests at 3 a second");
+}
