yuccarackctl: a call that rate limits of targets refused has its own cause

Change: the cause target_limited, with what to check next; a gate without capacity still decides where both occur.

--- a/crates/yuccarackctl/src/logs/cause.rs
+++ b/crates/yuccarackctl/src/logs/cause.rs
@@ -9,6 +9,9 @@
 /// Refusal reasons of gates that have no capacity for a request.
 const NO_CAPACITY_REASONS: [&str; 4] = ["full", "slow", "too_late", "cannot_end_in_time"];
 
+/// Refusal reason of gates whose target announces a rate limit.
+const RATE_LIMITED: &str = "rate_limited";
+
 /// Cause of a failed call, by which calls are counted.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -18,6 +21,8 @@
     /// The service had no capacity before the deadline of the caller.
     #[serde(rename = "load")]
     NoCapacity,
+    /// The targets announce rate limits that leave no room for the request.
+    TargetLimited,
     /// The target responded with a failure.
     TargetFailed,
     /// The target closed the connection or sent no complete response.
@@ -56,7 +61,12 @@
         let is_not_run = end.outcome.as_deref() == Some("not_run");
         match (end.reason.as_deref(), end.status) {
             // One gate without capacity decides, even if others were unreachable.
-            (Some(_), _) if is_not_run && has_gate_without_capacity(end) => Self::NoCapacity,
+            (Some(_), _) if is_not_run && has_gate_with(end, &NO_CAPACITY_REASONS) => {
+                Self::NoCapacity
+            }
+            (Some(_), _) if is_not_run && has_gate_with(end, &[RATE_LIMITED]) => {
+                Self::TargetLimited
+            }
             (Some(reason), _) => Self::from_reason(reason),
             (None, Some(_)) => Self::TargetFailed,
             (None, None) => Self::Undetermined,
@@ -66,6 +76,7 @@
     fn from_reason(reason: &str) -> Self {
         match reason {
             reason if NO_CAPACITY_REASONS.contains(&reason) => Self::NoCapacity,
+            RATE_LIMITED => Self::TargetLimited,
             "broken" | "target_died" => Self::TargetDisconnected,
             "shed" => Self::TargetShed,
             "deadline_passed" => Self::DeadlinePassed,
@@ -87,6 +98,10 @@
                 "the service had no capacity before the deadline: check running, limit and \
                  slowness of the gates, and whether targets were lost at that time."
             }
+            Self::TargetLimited => {
+                "the targets announce rate limits: check target_limit_changed of their instances, \
+                 and whether the service has enough targets."
+            }
             Self::TargetFailed => {
                 "the target responded with a failure: check the target, and the calls that it made \
                  at that time."
@@ -126,11 +141,11 @@
     }
 }
 
-/// Returns whether one of the attempted gates had no capacity.
-fn has_gate_without_capacity(end: &Event) -> bool {
+/// Returns whether one of the attempted gates replied with one of `reasons`.
+fn has_gate_with(end: &Event, reasons: &[&str]) -> bool {
     let gates = end.gates.as_deref().unwrap_or_default();
     let replies = gates.split(' ').filter_map(|gate| gate.split_once('='));
-    replies.into_iter().any(|(_, reply)| NO_CAPACITY_REASONS.contains(&reply))
+    replies.into_iter().any(|(_, reply)| reasons.contains(&reply))
 }
 
 impl fmt::Display for Cause {
@@ -138,6 +153,7 @@
         let name = match self {
             Self::None => "none",
             Self::NoCapacity => "load",
+            Self::TargetLimited => "target_limited",
             Self::TargetFailed => "target_failed",
             Self::TargetDisconnected => "target_broke",
             Self::TargetShed => "target_shed",
