LIMIT: entries remind a restarted gate of the limit that its target announced

What targets would see: a limit of 0.25 requests a second, known to two entries, and a gate that restarts five times in 7 s let 8 requests through in 4 s, where the rule allows 6: each new process of the gate knows no limit until its target's next response. Cause: the limit was known to entries and not used where the work is sent. Change: gates report what their target announced (incarnation, rate, whether it leaves) in one field of their status, entries return it with their requests, and a gate that has no response of that incarnation yet adopts the rate, as it already did the departure. Only a response of the target without an announcement ends it at the entry, as a restarted gate's refusals say nothing.

--- a/crates/yuccarack_policy/src/rate_limit.rs
+++ b/crates/yuccarack_policy/src/rate_limit.rs
@@ -108,6 +108,20 @@
         true
     }
 
+    /// Adopts a limit that the target announced to another process, until its first response.
+    /// Returns whether that changed anything.
+    ///
+    /// The other process may have dispatched a request just now.
+    pub fn adopt(&mut self, now: Instant, rate: RequestRate) -> bool {
+        if !self.is_unreported || self.rate == Some(rate) {
+            return false;
+        }
+        self.rate = Some(rate);
+        self.reported_at = Some(now);
+        self.due_at = self.interval().map(|interval| now + interval + BURST);
+        true
+    }
+
     /// Returns when the next request may be dispatched; `None` if at once.
     ///
     /// While the target takes no requests at all, this is the time at which its next report is due.
--- a/crates/yuccarack_policy/tests/rate_limit.rs
+++ b/crates/yuccarack_policy/tests/rate_limit.rs
@@ -294,6 +294,22 @@
     assert_eq!(runs(&mut queue), 7 - CONCURRENCY_BEFORE_REPORT);
 }
 
+/// Guards against a restarted gate that forgets a limit which entries know, and against one that
+/// holds its target to a limit that has ended meanwhile.
+#[test]
+fn a_limit_known_to_entries_holds_until_the_first_response() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut limit = RateLimit::unreported();
+    assert!(limit.adopt(at(0), RequestRate::new(2_000)));
+    assert!(!limit.adopt(at(0), RequestRate::new(2_000)));
+    assert_eq!(limit.next_dispatch_at(at(0)), Some(at(500)));
+    limit.record_dispatch(at(500));
+    assert!(limit.record(at(520), at(500), ReportSource::Request, LimitReport::Unlimited));
+    assert!(!limit.adopt(at(530), RequestRate::new(2_000)));
+    assert_eq!(limit.rate(), None);
+}
+
 quickcheck! {
     /// No sequence of limits lets more through than the highest of them allows.
     fn any_sequence_of_limits_stays_within_the_highest(rates: Vec<u8>) -> bool {
--- a/crates/yuccarackd/src/coordination/routed/entry/attempts.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/attempts.rs
@@ -203,7 +203,7 @@
         let request = GateRequest::new(Instant::now(), hop, parts, body);
         let local = &self.entry.parts.gate;
         let response = local.handle(request).await;
-        self.service.record_status(Instant::now(), gate.key, local.status());
+        self.service.record_status(Instant::now(), gate.key, local.status(), response.is_ok());
         match response {
             Ok(response) => Reply::Answered(response),
             Err(refusal) => Reply::Refused(refusal),
@@ -225,11 +225,12 @@
         let status = response.headers_mut().remove(GATE_STATUS);
         let status: Option<GateStatus> =
             status.and_then(|status| status.to_str().ok()?.parse().ok());
+        let refusal = parse_refusal(&response);
         if let Some(status) = status {
-            self.service.record_status(Instant::now(), gate.key, status);
+            self.service.record_status(Instant::now(), gate.key, status, refusal.is_none());
             self.entry.parts.peers.note_version(gate.address(), status.routing_version);
         }
-        match parse_refusal(&response) {
+        match refusal {
             Some(refusal) => Reply::Refused(refusal),
             None => Reply::Answered(response),
         }
--- a/crates/yuccarackd/src/coordination/routed/entry/call.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/call.rs
@@ -106,7 +106,7 @@
             may_wait: gate.may_wait,
             routing_version: self.routing_version,
             sender,
-            leaving: gate.leaving,
+            announcement: gate.announcement,
         }
     }
 
--- a/crates/yuccarackd/src/coordination/routed/entry/service.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/service.rs
@@ -11,7 +11,6 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SecondaryMap;
 use yuccarack_config::{
-    heartbeat::TargetIncarnation,
     ids::{DomainName, InstanceId, RegionName},
     routed_settings::RoutedSettings,
 };
@@ -20,7 +19,9 @@
     placement::{AttemptHistory, GateAttemptOutcome, GateKey, Placement},
 };
 
-use crate::protocol::{gate_status::GateStatus, peer_update::RoutedMember};
+use crate::protocol::{
+    gate_status::GateStatus, peer_update::RoutedMember, target_announcement::TargetAnnouncement,
+};
 
 /// Weight of a reported value in the moving average of the service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
@@ -35,8 +36,8 @@
     placement: Placement,
     key_by_instance: HashMap<InstanceId, GateKey>,
     member_by_key: SecondaryMap<GateKey, Arc<RoutedMember>>,
-    /// Incarnations of targets that have announced with a response that they leave.
-    leaving_by_key: SecondaryMap<GateKey, TargetIncarnation>,
+    /// What targets announced with the latest responses that this entry passed on.
+    announcement_by_key: SecondaryMap<GateKey, TargetAnnouncement>,
     extra_attempts: ExtraAttempts,
     mean_service_time: Option<Duration>,
     rng: SmallRng,
@@ -51,8 +52,8 @@
     pub member: Arc<RoutedMember>,
     /// Whether the request may be queued there.
     pub may_wait: bool,
-    /// Incarnation of its target that has announced that it leaves; `None` if none is known.
-    pub leaving: Option<TargetIncarnation>,
+    /// What its target announced with a response that this entry passed on.
+    pub announcement: Option<TargetAnnouncement>,
 }
 
 impl ChosenGate {
@@ -84,7 +85,7 @@
             placement: Placement::new().with_decisions(settings.decisions),
             key_by_instance: HashMap::new(),
             member_by_key: SecondaryMap::new(),
-            leaving_by_key: SecondaryMap::new(),
+            announcement_by_key: SecondaryMap::new(),
             extra_attempts: ExtraAttempts::new(
                 bounds.extra_tries_percent,
                 bounds.extra_tries,
@@ -125,7 +126,7 @@
         for key in removed.into_values() {
             state.placement.remove(key);
             state.member_by_key.remove(key);
-            state.leaving_by_key.remove(key);
+            state.announcement_by_key.remove(key);
         }
     }
 
@@ -162,8 +163,8 @@
         let placed = state.placement.choose(now, &mut state.rng, history, mean_service_time)?;
         let member = Arc::clone(state.member_by_key.get(placed.gate)?);
         state.placement.record_attempt(placed.gate);
-        let leaving = state.leaving_by_key.get(placed.gate).copied();
-        Some(ChosenGate { key: placed.gate, member, may_wait: placed.may_wait, leaving })
+        let announcement = state.announcement_by_key.get(placed.gate).copied();
+        Some(ChosenGate { key: placed.gate, member, may_wait: placed.may_wait, announcement })
     }
 
     /// Returns the unreachable gates with their addresses.
@@ -187,12 +188,28 @@
         }
     }
 
-    /// Records the status that a gate reports.
-    pub fn record_status(&self, now: Instant, key: GateKey, status: GateStatus) {
+    /// Records the status that a gate reports; `has_response` is whether it came with a response of
+    /// the target.
+    ///
+    /// A gate that has restarted doesn't know what its target announced before, so only a response
+    /// of the target without an announcement ends the earlier one.
+    pub fn record_status(
+        &self,
+        now: Instant,
+        key: GateKey,
+        status: GateStatus,
+        has_response: bool,
+    ) {
         let load = status.load;
         let state = &mut *self.state.lock();
-        if let Some(incarnation) = status.leaving {
-            state.leaving_by_key.insert(key, incarnation);
+        match status.announcement {
+            Some(announcement) => {
+                state.announcement_by_key.insert(key, announcement);
+            }
+            None if has_response => {
+                state.announcement_by_key.remove(key);
+            }
+            None => {}
         }
         state.placement.record_load(now, key, load);
         if load.mean_service_time.is_zero() {
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -187,7 +187,7 @@
         GateStatus {
             load: load.unwrap_or(idle),
             routing_version: self.parts.routing.version(),
-            leaving: self.parts.target.announced_leaving(),
+            announcement: self.announcement(),
         }
     }
 
@@ -231,10 +231,10 @@
         if self.parts.leaving.is_cancelled() {
             return Err(reject(Reason::Draining));
         }
-        if let Some(incarnation) = request.hop.leaving {
-            self.record_leaving(incarnation);
-        }
         let active = self.active.read().clone().ok_or_else(|| reject(Reason::NotReady))?;
+        if let Some(known) = request.hop.announcement {
+            self.record_known_announcement(&active, known);
+        }
         self.check_available(&active)?;
         if self.is_evacuated() {
             return Err(reject(Reason::Evacuated));
--- a/crates/yuccarackd/src/coordination/routed/log_lines/targets.rs
+++ b/crates/yuccarackd/src/coordination/routed/log_lines/targets.rs
@@ -64,8 +64,9 @@
         limit_per_1000_s: Option<u32>,
         /// The same before the change.
         previous_per_1000_s: Option<u32>,
-        /// Whether a health check reported it.
-        by_health_check: bool,
+        /// What reported it: `response`, `health_check`, or `entry` for an entry that passed on a
+        /// response to an earlier process of this daemon.
+        from: &'static str,
     }
 
     /// A rate limit that the target announced could not be parsed; the one before stays.
--- a/crates/yuccarackd/src/protocol/gate_status.rs
+++ b/crates/yuccarackd/src/protocol/gate_status.rs
@@ -5,11 +5,11 @@
 use std::{str::FromStr, time::Duration};
 
 use thiserror::Error;
-use yuccarack_config::{
-    announcement::RequestRate, heartbeat::TargetIncarnation, routing::RoutingVersion,
-};
+use yuccarack_config::routing::RoutingVersion;
 use yuccarack_policy::placement::GateLoad;
 
+use super::target_announcement::TargetAnnouncement;
+
 /// Name of the header.
 pub const GATE_STATUS: &str = "yuccarack-gate";
 
@@ -20,8 +20,8 @@
     pub load: GateLoad,
     /// Version of the gate's routing table, 0 for none.
     pub routing_version: RoutingVersion,
-    /// Incarnation of the target if it has announced with a response that it leaves.
-    pub leaving: Option<TargetIncarnation>,
+    /// What the target announced with a response; `None` if nothing that holds now.
+    pub announcement: Option<TargetAnnouncement>,
 }
 
 /// A malformed gate status header.
@@ -37,11 +37,12 @@
         write!(f, "{running},{waiting},{limit},{service_us},{slowdown_percent},")?;
         write!(f, "{}", self.routing_version)?;
         // Daemons of an earlier version ignore further fields.
-        if self.load.rate_limit.is_none() && self.leaving.is_none() {
-            return Ok(());
+        match self.announcement {
+            Some(announcement) => {
+                write!(f, ",{},{announcement}", self.load.admits_in.as_micros())
+            }
+            None => Ok(()),
         }
-        write!(f, ",{}", OrNone(self.load.rate_limit.map(RequestRate::per_1000_s)))?;
-        write!(f, ",{},{}", self.load.admits_in.as_micros(), OrNone(self.leaving))
     }
 }
 
@@ -61,35 +62,17 @@
             admits_in: Duration::ZERO,
         };
         let routing_version = value(next()?)?;
-        let mut leaving = None;
-        if let Ok(rate) = next() {
-            load.rate_limit = optional(rate)?.map(RequestRate::new);
-            load.admits_in = Duration::from_micros(value(next()?)?);
-            leaving = optional(next()?)?;
-        }
-        Ok(Self { load, routing_version, leaving })
-    }
-}
-
-/// Text of a field without a value.
-const NONE: &str = "-";
-
-/// Formats an optional field.
-struct OrNone<T>(Option<T>);
-
-impl<T: std::fmt::Display> std::fmt::Display for OrNone<T> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match &self.0 {
-            Some(value) => value.fmt(f),
-            None => f.write_str(NONE),
+        let mut announcement = None;
+        if let Ok(admits_in) = next() {
+            let announced: TargetAnnouncement = value(next()?)?;
+            load.admits_in = Duration::from_micros(value(admits_in)?);
+            load.rate_limit = announced.rate_limit;
+            announcement = Some(announced);
         }
+        Ok(Self { load, routing_version, announcement })
     }
 }
 
-fn optional<T: FromStr>(text: &str) -> Result<Option<T>, GateStatusError> {
-    if text == NONE { Ok(None) } else { value(text).map(Some) }
-}
-
 fn value<T: FromStr>(text: &str) -> Result<T, GateStatusError> {
     text.parse().map_err(|_| GateStatusError)
 }
--- a/crates/yuccarackd/src/protocol/hop.rs
+++ b/crates/yuccarackd/src/protocol/hop.rs
@@ -4,12 +4,11 @@
 
 use thiserror::Error;
 use yuccarack_config::{
-    heartbeat::TargetIncarnation,
     ids::{AttemptId, ServiceName},
     routing::RoutingVersion,
 };
 
-use super::call::format_id;
+use super::{call::format_id, target_announcement::TargetAnnouncement};
 
 /// Name of the header.
 pub const HOP: &str = "yuccarack-hop";
@@ -41,9 +40,9 @@
     pub routing_version: RoutingVersion,
     /// Gate address of the entry's daemon, which serves updates to the gate.
     pub sender: SocketAddr,
-    /// Incarnation of the gate's target that has announced to the entry that it leaves; `None` if
-    /// the entry knows of none.
-    pub leaving: Option<TargetIncarnation>,
+    /// What the gate's target announced with a response that the entry passed on; `None` if nothing
+    /// that holds by what the entry knows.
+    pub announcement: Option<TargetAnnouncement>,
 }
 
 /// A malformed hop header.
@@ -67,8 +66,8 @@
             self.routing_version,
             self.sender,
         )?;
-        match self.leaving {
-            Some(incarnation) => write!(f, "{SEPARATOR}{incarnation}"),
+        match self.announcement {
+            Some(announcement) => write!(f, "{SEPARATOR}{announcement}"),
             None => Ok(()),
         }
     }
@@ -92,7 +91,7 @@
             may_wait: flag(next()?)?,
             routing_version: value(next()?)?,
             sender: value(next()?)?,
-            leaving: next().ok().and_then(|text| text.parse().ok()),
+            announcement: next().ok().and_then(|text| text.parse().ok()),
         })
     }
 }
--- a/crates/yuccarackd/src/protocol/mod.rs
+++ b/crates/yuccarackd/src/protocol/mod.rs
@@ -13,3 +13,4 @@
 pub mod status;
 pub mod streamed_body;
 pub mod suspect_update;
+pub mod target_announcement;
--- a/crates/yuccarackd/tests/routed/limits.rs
+++ b/crates/yuccarackd/tests/routed/limits.rs
@@ -213,6 +213,33 @@
     assert!((1..=allowed(0.5)).contains(&most), "{most} requests in {WINDOW:?}");
 }
 
+/// Guards against a gate that restarts again and again and lets requests through each time until
+/// its target's first response, although the entries know the limit.
+#[tokio::test]
+async fn a_limit_is_kept_while_its_gate_restarts_in_series() {
+    let mut deployment = deploy("series", 3).await;
+    // The other targets have too few slots for all callers.
+    for instance in &deployment.instances {
+        instance.target.set_behaviour(Behaviour::Respond(Duration::from_millis(200)));
+    }
+    let limited = deployment.instances.remove(0);
+    limited.target.announce_limit(Some("0.25"));
+    // Requests through the other entries only, which don't restart.
+    send_load(&deployment, 3 * PASS_ON_TIME).await;
+    deployment.instances.push(limited);
+    let from = Instant::now();
+    for _ in 0..5 {
+        deployment.instances[2].kill_daemon();
+        deployment.instances[2].start_daemon().await.expect("a daemon");
+        deployment.instances[2].start_heartbeats();
+        let limited = deployment.instances.remove(2);
+        send_load(&deployment, Duration::from_millis(1_300)).await;
+        deployment.instances.push(limited);
+    }
+    let most = most_in_window(&deployment, 2, from);
+    assert!(most <= allowed(0.25), "{most} requests in {WINDOW:?}");
+}
+
 /// Guards against a restarted target that is held to the limit of the process before it.
 #[tokio::test]
 async fn a_restarted_target_is_not_limited_until_it_announces_that() {
