Soak: targets that announce rate limits or that they leave, with a check of each

Change: walks with limits of 0, 0.5, 2.5, 6.9 and 20 requests a second at several targets, overlapping and in series with the other faults, and one target that announces its departure and is replaced. The checks are the users' rules, from what callers and targets see: 1.5 times the limit and 5 more in any 4 s, of entries that passed on a response with it half a second before; nothing 2 s after an entry passed on a departure.

--- a/crates/yuccarackd/tests/routed/soak/mod.rs
+++ b/crates/yuccarackd/tests/routed/soak/mod.rs
@@ -5,6 +5,7 @@
 //! `YUCCARACK_WALK_MINUTES` the duration and `YUCCARACK_WALK_INSTANCES` the number of instances.
 //! Without the latter, odd seeds run under additional load.
 
+mod announcements;
 mod callers;
 mod pipelining_callers;
 mod plan;
@@ -43,6 +44,9 @@
 /// Seeds of the walks with cold targets and evacuations in the regular test run.
 const SEEDS_COLD: [u64; 3] = [11, 12, 13];
 
+/// Seeds of the walks with limited and leaving targets in the regular test run.
+const SEEDS_LIMITED: [u64; 3] = [21, 22, 23];
+
 /// Number of walks that run concurrently.
 const WALKS_AT_ONCE: usize = 3;
 
@@ -96,6 +100,12 @@
     check_plans(SEEDS_COLD.into_iter().map(plan).collect()).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn faults_break_no_guarantee_to_limited_and_leaving_targets() {
+    let plan = |seed| Plan::new(seed, INSTANCES).with_limited_targets();
+    check_plans(SEEDS_LIMITED.into_iter().map(plan).collect()).await;
+}
+
 /// Runs only if `YUCCARACK_WALK_MINUTES` is set, as `scripts/soak` does. For a seed that fails it
 /// prints the plan and a reduced list of faults that still fails, then goes on with the next seed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -114,6 +124,7 @@
         };
         let plan = if seed.is_multiple_of(3) { plan.with_pipelining() } else { plan };
         let plan = if seed.is_multiple_of(4) { plan.with_cold_targets() } else { plan };
+        let plan = if seed % 5 < 2 { plan.with_limited_targets() } else { plan };
         let record = Walk::run(&plan).await;
         let violations = find_violations(&record);
         println!("seed {seed}: {} faults, {} calls", plan.events.len(), record.calls.len());
--- a/crates/yuccarackd/tests/routed/soak/plan.rs
+++ b/crates/yuccarackd/tests/routed/soak/plan.rs
@@ -40,6 +40,17 @@
 /// Duration of an evacuation, in ms; longer than the time in which it has to be in force.
 const EVACUATION_MS: u64 = 6_000;
 
+/// Rate limits that targets announce, in requests per 1,000 s.
+const RATE_LIMITS: [u32; 5] = [0, 500, 2_500, 6_900, 20_000];
+
+/// Range of the time for which a target announces a limit, in ms; longer than the window in which
+/// its requests are counted.
+const LIMITED_MS: std::ops::Range<u64> = 4_600..7_000;
+
+/// Duration of the departure of a target that announces it in its responses, in ms; another process
+/// replaces it then.
+const LEAVING_MS: std::ops::Range<u64> = 2_500..4_500;
+
 /// Duration of a step, in ms, of a walk in steps.
 const STEP_DURATION_MS: u64 = 800;
 
@@ -74,6 +85,10 @@
     ColdTarget(usize),
     /// Operators evacuate the failure domain of this index.
     EvacuatedDomain(usize),
+    /// The target announces this rate limit, in requests per 1,000 s, with its responses.
+    LimitedTarget(usize, u32),
+    /// The target announces with its responses that it leaves.
+    LeavingTarget(usize),
 }
 
 /// A kind of fault of a network link.
@@ -186,6 +201,24 @@
         self
     }
 
+    /// Adds targets that announce rate limits, some at the same time, and one that announces that it
+    /// leaves.
+    pub fn with_limited_targets(mut self) -> Self {
+        let mut random = StdRng::seed_from_u64(self.seed.wrapping_mul(37));
+        for _ in 0..self.instances {
+            let rate_limit = RATE_LIMITS[random.random_range(0..RATE_LIMITS.len())];
+            let fault = Fault::LimitedTarget(random.random_range(0..self.instances), rate_limit);
+            let at_ms = random.random_range(0..FAULT_PERIOD_MS / 2);
+            let duration_ms = random.random_range(LIMITED_MS);
+            self.events.push(Event { at_ms, duration_ms, fault });
+        }
+        let fault = Fault::LeavingTarget(random.random_range(0..self.instances));
+        let at_ms = random.random_range(0..FAULT_PERIOD_MS / 2);
+        let duration_ms = random.random_range(LEAVING_MS);
+        self.events.push(Event { at_ms, duration_ms, fault });
+        self
+    }
+
     /// Plans the same faults and adds one of three loads that they seldom cause: all daemons
     /// restart while the store refuses connections, each attempt fails, or there are more callers
     /// than slots, some of whom disconnect.
@@ -333,6 +366,7 @@
             | Self::FrozenDaemon(_)
             | Self::CrashedTarget(_)
             | Self::BackdatedTarget(_)
+            | Self::LeavingTarget(_)
             | Self::FaultyTarget(..)
             | Self::FaultyTargets(_)
             | Self::GateLink(..)
@@ -345,6 +379,7 @@
             | Self::StoreCompaction
             | Self::SlowStore(_)
             | Self::ColdTarget(_)
+            | Self::LimitedTarget(..)
             | Self::EvacuatedDomain(_)
             | Self::NewRoutes => false,
         }
--- a/crates/yuccarackd/tests/routed/soak/record.rs
+++ b/crates/yuccarackd/tests/routed/soak/record.rs
@@ -2,7 +2,10 @@
 
 use std::time::Instant;
 
-use yuccarack_platform_standin::{instance::Links, target::Run};
+use yuccarack_platform_standin::{
+    instance::Links,
+    target::{AnnouncedLimit, Run},
+};
 
 use super::{
     callers::{CallRecord, RouteVersion},
@@ -32,6 +35,15 @@
     pub until: Option<Instant>,
 }
 
+/// Time for which a target announced with its responses that it leaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Departure {
+    /// First time at which it announced that.
+    pub from: Instant,
+    /// Time at which it exited.
+    pub until: Instant,
+}
+
 /// Requests that the targets of one instance received.
 #[derive(Clone, Debug, Default)]
 pub struct ReceivedRequests {
@@ -39,6 +51,10 @@
     pub runs: Vec<Run>,
     /// Arrival times of all requests, whether they ran or not.
     pub arrivals: Vec<Instant>,
+    /// Rate limits that the targets announced.
+    pub rate_limits: Vec<AnnouncedLimit>,
+    /// Times for which targets announced with their responses that they leave.
+    pub departures: Vec<Departure>,
 }
 
 /// Everything recorded in a walk.
--- a/crates/yuccarackd/tests/routed/soak/violations.rs
+++ b/crates/yuccarackd/tests/routed/soak/violations.rs
@@ -64,6 +64,11 @@
     RequestWhileLeaving { instance: usize, after: Duration },
     /// A cold target received more requests than its rate limit allows.
     ColdRateExceeded { instance: usize, arrivals: usize, cold_for: Duration },
+    /// A target that announced a rate limit received more requests than that allows.
+    RateLimitExceeded { instance: usize, requests: usize, rate_limit: f64 },
+    /// A target that announced with a response that it leaves received a request from an entry that
+    /// had passed that response on.
+    RequestAfterDeparture { instance: usize, id: String, after: Duration },
     /// A target of an evacuated failure domain received a request.
     RequestWhileEvacuated { instance: usize, after: Duration },
     /// A version was not in force in time.
@@ -92,13 +97,15 @@
     checker.check_drains(&mut violations);
     checker.check_cold_targets(&mut violations);
     checker.check_evacuations(&mut violations);
+    checker.check_rate_limits(&mut violations);
+    checker.check_departures(&mut violations);
     checker.check_versions(&mut violations);
     checker.check_arrivals(&mut violations);
     violations
 }
 
-struct Checker<'a> {
-    record: &'a WalkRecord,
+pub struct Checker<'a> {
+    pub record: &'a WalkRecord,
     runs: HashMap<&'a str, usize>,
 }
 
@@ -202,7 +209,7 @@
         self.has_fault_within(call.sent_at, call.ended_at, affects)
     }
 
-    fn has_fault_within(
+    pub fn has_fault_within(
         &self,
         from: Instant,
         until: Instant,
--- a/crates/yuccarackd/tests/routed/soak/walk.rs
+++ b/crates/yuccarackd/tests/routed/soak/walk.rs
@@ -10,14 +10,14 @@
     deployment::{Deployment, FAILURE_DOMAINS, RouteSpec},
     instance::{Instance, Links},
     store::StoreServerMode,
-    target::Behaviour,
+    target::{AnnouncedLimit, Behaviour},
 };
 use yuccarack_standins::proxy::{Proxy, ProxyFaults};
 
 use super::{
     callers::{Callers, InstanceAddresses, RouteVersion, VERSIONED, Versions},
     plan::{Event, Fault, LinkFault, Plan},
-    record::{Drain, ReceivedRequests, Span, WalkRecord},
+    record::{Departure, Drain, ReceivedRequests, Span, WalkRecord},
     violations::Violation,
 };
 use crate::support::{READS, board_routes, program};
@@ -212,6 +212,11 @@
             Fault::ColdTarget(at) => {
                 instances[at].target.set_cold_for(Duration::from_millis(duration_ms));
             }
+            Fault::LimitedTarget(at, per_1000_s) => {
+                let per_s = f64::from(per_1000_s) / 1_000.0;
+                instances[at].target.announce_limit(Some(&per_s.to_string()));
+            }
+            Fault::LeavingTarget(at) => instances[at].target.announce_leaving(),
             Fault::EvacuatedDomain(domain) => {
                 self.deployment.store.put("op", &evacuation_key(domain), b"{}");
             }
@@ -263,6 +268,11 @@
                     target.set_faults(ProxyFaults::default());
                 }
             }
+            Fault::LimitedTarget(at, _) => instances[at].target.announce_limit(None),
+            Fault::LeavingTarget(at) => {
+                let started_ms = instances[at].target_started_unix_ms() + 1_000;
+                self.restart_target(at, started_ms).await;
+            }
             Fault::EvacuatedDomain(domain) => {
                 self.deployment.store.delete("op", &evacuation_key(domain));
             }
@@ -310,6 +320,13 @@
         let received = &mut self.record.received[at];
         received.runs.extend(target.runs());
         received.arrivals.extend(target.arrivals());
+        let now = Instant::now();
+        let limits = target.announced_limits().into_iter();
+        received.rate_limits.extend(
+            limits.map(|limit| AnnouncedLimit { until: limit.until.or(Some(now)), ..limit }),
+        );
+        let departure = target.announced_leaving_at().map(|from| Departure { from, until: now });
+        received.departures.extend(departure);
     }
 
     fn write_version(&mut self) {
