Connections are not used near the end of the idle timeout that their server announces

What callers would see: a read sent on a kept connection while its target closes it as idle is broken and repeated, or fails at the deadline.

--- a/crates/yuccarackd/src/transport/connection.rs
+++ b/crates/yuccarackd/src/transport/connection.rs
@@ -93,6 +93,8 @@
     sender: SendRequest<CallBody>,
     sent_bytes: SentBytes,
     idle_since: Instant,
+    /// When the peer closes the connection if it stays idle; `None` if the peer announced no time.
+    idle_deadline: Option<Instant>,
 }
 
 impl Connection {
@@ -126,12 +128,13 @@
             // A failure of the driver is reported by the request that it fails.
             let _ = driver.await;
         });
-        Ok(Self { sender, sent_bytes, idle_since: Instant::now() })
+        Ok(Self { sender, sent_bytes, idle_since: Instant::now(), idle_deadline: None })
     }
 
     /// Returns whether the connection can carry a request now and became idle at `oldest` or later.
     pub async fn is_usable(&mut self, oldest: Instant) -> bool {
-        if self.idle_since < oldest || self.sender.is_closed() {
+        let is_expired = self.idle_deadline.is_some_and(|deadline| deadline <= Instant::now());
+        if self.idle_since < oldest || is_expired || self.sender.is_closed() {
             return false;
         }
         poll_fn(|cx| match self.sender.poll_ready(cx) {
@@ -164,9 +167,11 @@
         })
     }
 
-    /// Marks the connection as idle since `now`.
-    pub fn mark_idle(&mut self, now: Instant) {
+    /// Marks the connection as idle since `now`; the peer keeps it open for `idle_time_max` if it
+    /// announced a time.
+    pub fn mark_idle(&mut self, now: Instant, idle_time_max: Option<Duration>) {
         self.idle_since = now;
+        self.idle_deadline = idle_time_max.and_then(|time| now.checked_add(time));
     }
 }
 
--- a/crates/yuccarackd/src/transport/upstream.rs
+++ b/crates/yuccarackd/src/transport/upstream.rs
@@ -20,7 +20,10 @@
 use parking_lot::Mutex;
 use tokio_util::task::TaskTracker;
 
-use super::connection::{BodyLength, Connection, SendError};
+use super::{
+    connection::{BodyLength, Connection, SendError},
+    keep_alive,
+};
 use crate::protocol::body::{BodyError, CallBody};
 
 /// Most idle connections that are pooled for one address.
@@ -86,7 +89,9 @@
         let tracked = TrackedBody::new(body, Arc::clone(&sent_fully)).boxed_unsync();
         let response = connection.send(Request::from_parts(parts, tracked)).await?;
         let is_reusable = body_length == BodyLength::Short;
-        let lease = Lease { address, connection, sent_fully, is_reusable, upstream: self.clone() };
+        let idle_time_max = keep_alive::idle_time_max(response.headers());
+        let upstream = self.clone();
+        let lease = Lease { address, connection, sent_fully, is_reusable, idle_time_max, upstream };
         Ok(response.map(|body| LeasedBody::new(body, lease).boxed_unsync()))
     }
 
@@ -110,8 +115,7 @@
         }
     }
 
-    fn return_to_pool(&self, address: SocketAddr, mut connection: Connection) {
-        connection.mark_idle(Instant::now());
+    fn return_to_pool(&self, address: SocketAddr, connection: Connection) {
         let mut idle = self.idle.lock();
         let connections = idle.entry(address).or_default();
         if connections.len() < IDLE_MAX {
@@ -137,6 +141,8 @@
     /// Whether it may carry another request. One that was opened for a long body is slow to detect
     /// a dead peer.
     is_reusable: bool,
+    /// Time for which the peer keeps the idle connection open, if it announced one.
+    idle_time_max: Option<Duration>,
     upstream: Upstream,
 }
 
@@ -145,7 +151,9 @@
     /// may end before its request does, and the connection then still carries the request.
     fn release(self) {
         if self.is_reusable && self.sent_fully.load(Ordering::Acquire) {
-            self.upstream.return_to_pool(self.address, self.connection);
+            let Self { address, mut connection, idle_time_max, upstream, .. } = self;
+            connection.mark_idle(Instant::now(), idle_time_max);
+            upstream.return_to_pool(address, connection);
         }
     }
 }
