Gate: the Retry-After of a target that sheds a request is passed on

What callers saw: a target that rejects a request without running it and asks them to come back after 1.25 s; the daemon's 503 said 0.3 s, whatever the target asked for. Change: the gate's refusal takes the target's Retry-After if it is readable, and 0.3 s otherwise; the entry and the gate share the parser. Result: the new test got 0.300 before and gets 1.250.

--- a/crates/yuccarackd/src/coordination/routed/entry/attempts.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Instant};
 
-use http::{Response, header};
+use http::Response;
 use rand::Rng;
 use yuccarack_policy::{
     extra_attempts::{FailedGateAttempt, GateAttemptFailure},
@@ -24,7 +24,7 @@
         body::CallBody,
         gate_status::{GATE_STATUS, GateStatus},
         hop::Hop,
-        refusal::{Outcome, Reason, Refusal},
+        refusal::{Outcome, Reason, Refusal, retry_after_from_headers},
     },
     transport::{connection::SendError, upstream::Freshness},
 };
@@ -337,9 +337,6 @@
 fn parse_refusal(response: &Response<CallBody>) -> Option<Refusal> {
     let outcome = Outcome::from_headers(response.headers())?;
     let reason = Reason::from_headers(response.headers());
-    let seconds = response.headers().get(header::RETRY_AFTER).and_then(|value| value.to_str().ok());
-    let seconds = seconds.and_then(|text| text.parse().ok());
-    let retry_after =
-        seconds.and_then(|seconds| std::time::Duration::try_from_secs_f64(seconds).ok());
+    let retry_after = retry_after_from_headers(response.headers());
     Some(Refusal { reason, outcome, retry_after })
 }
--- a/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
@@ -13,7 +13,7 @@
     protocol::{
         body::{BodyStart, CallBody},
         forwarding,
-        refusal::{Outcome, Reason, Refusal},
+        refusal::{Outcome, Reason, Refusal, retry_after_from_headers},
     },
     transport::{connection::SendError, upstream::Freshness},
 };
@@ -57,9 +57,9 @@
             gate.record_announcement(self.active, dispatched_at, source, response.headers());
         }
         if headers::confirms_not_run(response.status(), response.headers()) {
-            return Err(
-                Refusal::not_run(Reason::Shed).with_retry_after(super::UNAVAILABLE_RETRY_AFTER)
-            );
+            let retry_after = retry_after_from_headers(response.headers());
+            return Err(Refusal::not_run(Reason::Shed)
+                .with_retry_after(retry_after.unwrap_or(super::UNAVAILABLE_RETRY_AFTER)));
         }
         check_response(request, &response)?;
         match timeout_at(deadline.into(), self.read_response(response)).await {
--- a/crates/yuccarackd/src/protocol/refusal.rs
+++ b/crates/yuccarackd/src/protocol/refusal.rs
@@ -272,6 +272,12 @@
     }
 }
 
+/// Parses the `Retry-After` header of a response as a number of seconds, which may be a fraction.
+pub fn retry_after_from_headers(map: &http::HeaderMap) -> Option<Duration> {
+    let seconds = map.get(header::RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Rounds up to whole seconds, the unit of `Retry-After`. Rounding down would let callers retry too
 /// early.
 fn whole_seconds(time: Duration) -> u64 {
--- a/crates/yuccarackd/tests/routed/answers.rs
+++ b/crates/yuccarackd/tests/routed/answers.rs
@@ -200,6 +200,19 @@
     assert!(deployment.instances[0].target.runs().is_empty());
 }
 
+/// Guards against callers that come back earlier than a target which sheds requests asks for.
+#[tokio::test]
+async fn the_retry_after_of_a_target_that_sheds_is_passed_on() {
+    let deployment = deployed("shedfor", &["board"]).await;
+    let shed = Behaviour::ShedFor(Duration::from_millis(1_250));
+    deployment.instances[0].target.set_behaviour(shed);
+    let call = Call::read(READS, "/r/1", "i1");
+    let response =
+        send_call(deployment.instances[0].call_address(), &call).await.expect("a response");
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(response.header("retry-after"), "1.250");
+}
+
 /// Guards against leaked slots: callers wait for a slot and disconnect at any time, some of them
 /// just when the slot is assigned. With each leak the target would run fewer requests, until it
 /// gets none.
