A gate without a response of its target yet fills its slots again

Cause: the bound of 3 requests until the first response, introduced with the rate limits, more than doubled the wait that the queue estimates, so requests that had time were refused as too late; each restart paid for it. Change: no such bound. It guarded against a gate that restarts beside a limited target and doesn't know the limit; since the entries that know it return it with their requests, the gate does. Requests of entries that don't are few and don't count by the users' rule.

--- a/crates/yuccarack_policy/src/rate_limit.rs
+++ b/crates/yuccarack_policy/src/rate_limit.rs
@@ -26,12 +26,6 @@
 /// Longest time between two requests to a target whose health checks don't report the limit.
 pub const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Concurrency of a target of which no response has arrived yet, which may be limited.
-///
-/// Without it a gate that restarts beside a limited target would fill all slots before the first
-/// response reports the limit.
-pub const CONCURRENCY_BEFORE_REPORT: usize = 3;
-
 /// Kind of the response that reports a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportSource {
--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -40,11 +40,7 @@
     service_times::ServiceTimeEstimates,
     waiting::{PriorityKey, WaitingRequest, priority_key},
 };
-use crate::{
-    cold_rate::ColdRate,
-    rate_limit::{CONCURRENCY_BEFORE_REPORT, RateLimit},
-    slowdown::SlowdownEstimate,
-};
+use crate::{cold_rate::ColdRate, rate_limit::RateLimit, slowdown::SlowdownEstimate};
 
 new_key_type! {
     /// Key of a running request; it must be released exactly once.
@@ -183,8 +179,7 @@
 
     /// Returns the largest number of requests that run at once.
     pub fn limit(&self) -> usize {
-        let limit = ((f64::from(self.slots) * SLOT_UTILIZATION_MAX) as usize).max(1);
-        if self.rate_limit.is_unreported() { limit.min(CONCURRENCY_BEFORE_REPORT) } else { limit }
+        ((f64::from(self.slots) * SLOT_UTILIZATION_MAX) as usize).max(1)
     }
 
     /// Returns the number of running requests.
