Stopping gate: connections that were accepted last are served, and known ones stay open until the port is closed

Cause: each refusal closed its connection, so each further request needed a new one; and the process joined the gate's connections before its server had accepted the last of them, so it exited with them unread and the kernel reset them. Change: a server runs under the tracker of its connections, which is joined as a whole, also at the entry; a stopping gate announces the close of connections only once it closes its port. Ruled out: the target, which answered all orders that it got.

--- a/crates/yuccarackd/src/coordination/routed/gate/server.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/server.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Instant};
 
 use http::{HeaderValue, Request, Response, header, request::Parts};
+use tokio_util::sync::CancellationToken;
 
 use super::{Gate, GateRequest};
 use crate::{
@@ -23,12 +24,15 @@
 pub struct GateServer {
     gate: Arc<Gate>,
     peers: Peers,
+    /// Cancelled when connections close.
+    closing: CancellationToken,
 }
 
 impl GateServer {
-    /// Creates a server that passes requests to `gate` and responds to queries from `peers`.
-    pub fn new(gate: Arc<Gate>, peers: Peers) -> Self {
-        Self { gate, peers }
+    /// Creates a server that passes requests to `gate` and responds to queries from `peers`. Its
+    /// responses announce the close of their connections once `closing` is cancelled.
+    pub fn new(gate: Arc<Gate>, peers: Peers, closing: CancellationToken) -> Self {
+        Self { gate, peers, closing }
     }
 
     async fn forward(&self, parts: Parts, body: CallBody) -> Result<Response<CallBody>, Refusal> {
@@ -59,7 +63,9 @@
         let response = self.forward(parts, body).await;
         let mut response = response.unwrap_or_else(Refusal::into_routed_response);
         self.gate.add_status_header(&mut response);
-        if self.gate.parts.leaving.is_cancelled() {
+        // Not as soon as the gate refuses requests: the next request would need a new connection,
+        // which is reset if the port closes before it is accepted.
+        if self.closing.is_cancelled() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
--- a/crates/yuccarackd/src/daemon/routed/assembly.rs
+++ b/crates/yuccarackd/src/daemon/routed/assembly.rs
@@ -283,10 +283,11 @@
         self.metrics
             .register_gauge("members_serving", help, move || gauge_value(members.serving_count()));
         let calls = self.server(listeners.calls, "entry");
-        tasks.background.spawn(calls.run(entry, tasks.calls.clone(), stops.calls.clone()));
-        let gate_server = Arc::new(GateServer::new(Arc::clone(gate), peers));
+        // A server is joined with its connections, as it accepts some until it has closed its port.
+        tasks.calls.spawn(calls.run(entry, tasks.calls.clone(), stops.calls.clone()));
+        let gate_server = Arc::new(GateServer::new(Arc::clone(gate), peers, stops.gate.clone()));
         let gates = self.server(listeners.gate, "gate");
-        tasks.background.spawn(gates.run(gate_server, tasks.gate.clone(), stops.gate.clone()));
+        tasks.gate.spawn(gates.run(gate_server, tasks.gate.clone(), stops.gate.clone()));
         let control = Arc::new(ControlServer {
             target: self.target.clone(),
             routing: self.routing.clone(),
