yuccarackctl: report lists the rate limits and departures that targets announced

Cause: an operator who asks why calls were refused as target_limited had to search each instance's log for the lines of announcements. Change: report has a table of them over all logs, by time, at most 1,000, and the same as JSON. Result: a test with lines of one instance out of order, and a call that a limit refused.

--- a/crates/yuccarackctl/src/commands/logs.rs
+++ b/crates/yuccarackctl/src/commands/logs.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     errors::CtlError,
-    logs::{Event, RequestTrace, Summary, draw_chart, for_each_event},
+    logs::{Announcements, Event, RequestTrace, Summary, draw_chart, for_each_event},
     report::{Report, format_table},
 };
 
@@ -43,9 +43,13 @@
     mut summary: Summary,
     svg: Option<&Path>,
 ) -> Result<Report, CtlError> {
+    let mut announcements = Announcements::default();
     let mut other_lines = 0;
     for file in files {
-        other_lines += for_each_event(file, |event| summary.record(&event))?;
+        other_lines += for_each_event(file, |event| {
+            summary.record(&event);
+            announcements.record(&event);
+        })?;
     }
     if let Some(svg) = svg {
         draw_chart(&summary, svg)?;
@@ -54,15 +58,23 @@
         summary.causes().into_iter().map(|(name, count)| vec![name, count.to_string()]).collect();
     let (header, rows) = summary.rows();
     let header: Vec<&str> = header.iter().map(String::as_str).collect();
-    let text = format!(
+    let mut text = format!(
         "{}\n\n{}\n\n{} log lines were dropped by the rate limits of daemons; {other_lines} lines \
          are not from a daemon.",
         format_table(&["cause", "calls"], &totals),
         format_table(&header, &rows),
         summary.omitted_lines(),
     );
+    if !announcements.is_empty() {
+        let header = ["time", "instance", "target", "announcement"];
+        text.push_str(&format!("\n\n{}", format_table(&header, &announcements.rows())));
+    }
+    if announcements.omitted() > 0 {
+        text.push_str(&format!("\n{} later announcements are omitted.", announcements.omitted()));
+    }
     let mut json = summary.to_json();
     json["other_lines"] = json!(other_lines);
+    json["announcements"] = announcements.to_json();
     Ok(Report::new(text, json))
 }
 
--- a/crates/yuccarackctl/src/logs/event.rs
+++ b/crates/yuccarackctl/src/logs/event.rs
@@ -16,6 +16,10 @@
     AttemptEnded,
     /// A gate refused a request or received no complete response.
     GateRefused,
+    /// The rate limit that a target announces changed.
+    TargetLimitChanged,
+    /// A target announced with a response that it leaves.
+    TargetAnnouncedLeaving,
     /// Lines of one kind were dropped by the rate limit.
     LinesLeftOut,
     /// Any other line; it is not about one request.
@@ -95,6 +99,12 @@
     /// Version of the routing table that the entry used.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub routing_version: Option<u64>,
+    /// Target of an announcement.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target: Option<String>,
+    /// Announced rate limit in requests per 1,000 s; `None` if it ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit_per_1000_s: Option<u32>,
     /// Number of dropped lines.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub count: Option<u64>,
--- a/crates/yuccarackctl/src/logs/mod.rs
+++ b/crates/yuccarackctl/src/logs/mod.rs
@@ -1,5 +1,6 @@
 //! Analysis of the log files of daemons for routed calls: parsing, order, causes.
 
+mod announcements;
 mod cause;
 mod chart;
 mod event;
@@ -7,6 +8,7 @@
 mod request_trace;
 mod summary;
 
+pub use announcements::Announcements;
 pub use cause::Cause;
 pub use chart::{ChartError, draw_chart};
 pub use event::{Event, EventKind};
--- a/crates/yuccarackctl/tests/explain_logs.rs
+++ b/crates/yuccarackctl/tests/explain_logs.rs
@@ -81,3 +81,36 @@
     let chart = fs::read_to_string(chart).expect("the chart");
     assert!(chart.contains("<svg") && chart.contains("target_failed"), "no legend in the chart");
 }
+
+/// Returns a line of the instance `a1` with `fields` of the event.
+fn line(second: u32, event: &str, fields: &str) -> String {
+    format!(
+        r#"{{"msg":"m","level":"INFO","ts":"2026-02-24T20:10:{second:02}Z","instance":"a1","event":"{event}",{fields}}}"#
+    )
+}
+
+#[tokio::test]
+async fn report_lists_what_targets_announced_and_the_calls_that_limits_refused() {
+    let lines = [
+        line(9, "target_limit_changed", r#""target":"i-1","limit_per_1000_s":null"#),
+        line(7, "target_limit_changed", r#""target":"i-1","limit_per_1000_s":10500"#),
+        line(8, "target_announced_leaving", r#""target":"i-1","life":7"#),
+        line(
+            8,
+            "call_failed",
+            r#""request":"r1","reason":"rate_limited","outcome":"not_run","gates":"a1=rate_limited""#,
+        ),
+    ];
+    let log = Path::new(env!("CARGO_TARGET_TMPDIR")).join("announcements.log");
+    fs::write(&log, lines.join("\n")).expect("a written log");
+    let log = log.display().to_string();
+    let args = ["report", "--logs", &log];
+    let report = run(command().run_inner(args.as_slice()).expect("a valid command line")).await;
+    let report = report.expect("a report");
+    let announced = report.json["announcements"].as_array().expect("announcements");
+    let announced: Vec<&str> =
+        announced.iter().filter_map(|entry| entry["announcement"].as_str()).collect();
+    assert_eq!(announced, ["limit of 10.5 requests/s", "leaves", "limit ended"]);
+    assert!(report.text.contains("limit of 10.5 requests/s"), "{}", report.text);
+    assert_eq!(report.json["totals"]["target_limited"], 1, "{}", report.text);
+}
