LIMIT: a gate queries a target that it has just found before it fills its slots

Cause: entries that restarted as well have no limit to return with their requests, and the gate's own requests filled its slots before the first response. Waits are estimated as before, so no burst is refused for it. Short requests don't go first at a limited target, as at a cold one: it gets a fixed number whatever their length.

--- a/crates/yuccarack_policy/src/rate_limit.rs
+++ b/crates/yuccarack_policy/src/rate_limit.rs
@@ -48,6 +48,8 @@
     /// When the next request is due by an even spacing.
     due_at: Option<Instant>,
     health_checked_at: Option<Instant>,
+    /// When the gate found the target, until the first health check of it has ended.
+    unchecked_since: Option<Instant>,
 }
 
 impl RateLimit {
@@ -56,9 +58,10 @@
         Self::default()
     }
 
-    /// Creates the state of a target that may have announced a limit to another process.
-    pub fn unreported() -> Self {
-        Self { is_unreported: true, ..Self::default() }
+    /// Creates the state of a target that the gate has found at `now`. It may have announced a limit
+    /// to another process, so it is queried at once.
+    pub fn unreported(now: Instant) -> Self {
+        Self { is_unreported: true, unchecked_since: Some(now), ..Self::default() }
     }
 
     /// Returns the rate in force; `None` without a limit.
@@ -71,6 +74,12 @@
         self.is_unreported
     }
 
+    /// Returns whether the target is still to be queried, which takes a few ms. All slots filled
+    /// before would be too many requests for a limited target.
+    pub fn is_unchecked(&self) -> bool {
+        self.unchecked_since.is_some()
+    }
+
     /// Records what a response that arrived at `now` reports; its request was sent at `sent_at`.
     /// Returns whether the limit changed.
     ///
@@ -84,7 +93,11 @@
         source: ReportSource,
         report: LimitReport,
     ) -> bool {
-        self.is_unreported &= source != ReportSource::Request;
+        let is_first_report = self.is_unreported && self.rate.is_none();
+        if source == ReportSource::Request {
+            self.is_unreported = false;
+            self.unchecked_since = None;
+        }
         let rate = match report {
             LimitReport::Limited(rate) => {
                 self.is_in_health_checks |= source == ReportSource::HealthCheck;
@@ -98,7 +111,11 @@
             return false;
         }
         self.rate = rate;
-        self.reschedule(now);
+        match source {
+            // Another process may have dispatched a request just now.
+            ReportSource::HealthCheck if is_first_report => self.start_interval(now),
+            ReportSource::HealthCheck | ReportSource::Request => self.reschedule(now),
+        }
         true
     }
 
@@ -112,7 +129,7 @@
         }
         self.rate = Some(rate);
         self.reported_at = Some(now);
-        self.due_at = self.interval().map(|interval| now + interval + BURST);
+        self.start_interval(now);
         true
     }
 
@@ -163,9 +180,12 @@
             .map_or(self.reported_at, |checked_at| Some(checked_at + HEALTH_CHECK_INTERVAL))
     }
 
-    /// Returns when a limited target is to be queried because no response has reported its limit
-    /// for a while; `None` without a limit.
+    /// Returns when the target is to be queried: at once if it has never been, and if it is limited,
+    /// when no response has reported its limit for a while. `None` without a limit.
     pub fn health_check_due_at(&self) -> Option<Instant> {
+        if self.unchecked_since.is_some() {
+            return self.unchecked_since;
+        }
         let due_at = self.reported_at? + HEALTH_CHECK_INTERVAL;
         Some(due_at.max(self.health_check_allowed_at()?))
     }
@@ -175,6 +195,16 @@
         self.health_checked_at = Some(now);
     }
 
+    /// Records that a health check has ended, with or without a response.
+    pub fn record_health_check_end(&mut self) {
+        self.unchecked_since = None;
+    }
+
+    /// Holds back the next request for a full interval.
+    fn start_interval(&mut self, now: Instant) {
+        self.due_at = self.interval().map(|interval| now + interval + BURST);
+    }
+
     fn ends_limit(&self, sent_at: Instant, source: ReportSource) -> bool {
         let is_later = self.reported_at.is_some_and(|reported_at| sent_at >= reported_at);
         is_later && (source == ReportSource::Request || self.is_in_health_checks)
--- a/crates/yuccarack_policy/src/work_queue/estimates.rs
+++ b/crates/yuccarack_policy/src/work_queue/estimates.rs
@@ -28,7 +28,7 @@
 
     /// Returns the mean time between two dispatches by the rate limits in force; `None` without
     /// one.
-    fn dispatch_interval(&self, now: Instant) -> Option<Duration> {
+    pub(super) fn dispatch_interval(&self, now: Instant) -> Option<Duration> {
         self.cold_rate.interval(now).max(self.rate_limit.interval())
     }
 
--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -208,7 +208,7 @@
         if let Some(soft_time_left) = request.soft_deadline.checked_duration_since(now) {
             self.service_times.assume(request.kind, soft_time_left.mul_f64(ASSUMED_SERVICE_SHARE));
         }
-        let has_slot = self.running.len() < self.limit();
+        let has_slot = self.has_free_slot();
         let is_limited = self.is_rate_limited(now);
         let has_room = has_slot && !is_limited && self.cold_rate.next_dispatch_at(now).is_none();
         let may_pass_on = self.decisions.slow_passed_over && !request.may_wait;
@@ -295,7 +295,7 @@
             soft_limit_at.map_or(hard_limit_at, |soft_limit_at| soft_limit_at.min(hard_limit_at))
         };
         let next = self.waiting.values().map(unservable_at).min()?;
-        let has_slot = self.running.len() < self.limit();
+        let has_slot = self.has_free_slot();
         let starts_at =
             self.cold_rate.next_dispatch_at(now).max(self.rate_limit.next_dispatch_at(now));
         let starts_at = starts_at.filter(|_| has_slot);
@@ -367,16 +367,16 @@
 
     /// Returns whether requests of `kind` go before all that aren't short.
     ///
-    /// Not on a cold target: that gets a fixed number of requests a second whatever their length,
-    /// and short requests on behalf of less urgent ones would take them all.
+    /// Not on a cold or limited target: that gets a fixed number of requests a second whatever their
+    /// length, and short requests on behalf of less urgent ones would take them all.
     fn is_expedited(&self, now: Instant, kind: u64) -> bool {
-        let is_bounded = self.decisions.cold_by_rank && self.cold_rate.interval(now).is_some();
+        let is_bounded = self.decisions.cold_by_rank && self.dispatch_interval(now).is_some();
         self.is_short(kind) && !is_bounded
     }
 
     /// Starts waiting requests while there is room.
     fn start_waiting(&mut self, now: Instant) {
-        while self.running.len() < self.limit()
+        while self.has_free_slot()
             && self.cold_rate.next_dispatch_at(now).is_none()
             && self.rate_limit.next_dispatch_at(now).is_none()
         {
--- a/crates/yuccarack_policy/src/work_queue/rate_limited.rs
+++ b/crates/yuccarack_policy/src/work_queue/rate_limited.rs
@@ -8,6 +8,13 @@
 };
 
 impl WorkQueue {
+    /// Returns whether a slot is free. Of a target that hasn't been queried for a limit yet only one
+    /// is used.
+    pub(super) fn has_free_slot(&self) -> bool {
+        let is_unchecked = self.rate_limit.is_unchecked();
+        self.running.len() < if is_unchecked { 1 } else { self.limit() }
+    }
+
     /// Returns whether the rate limit leaves no room for a request that arrives now. Requests that
     /// wait for the limit go first.
     pub(super) fn is_rate_limited(&self, now: Instant) -> bool {
--- a/crates/yuccarack_policy/tests/rate_limit.rs
+++ b/crates/yuccarack_policy/tests/rate_limit.rs
@@ -280,7 +280,7 @@
 fn a_limit_known_to_entries_holds_until_the_first_response() {
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
-    let mut limit = RateLimit::unreported();
+    let mut limit = RateLimit::unreported(start);
     assert!(limit.adopt(at(0), RequestRate::new(2_000)));
     assert!(!limit.adopt(at(0), RequestRate::new(2_000)));
     assert_eq!(limit.next_dispatch_at(at(0)), Some(at(500)));
@@ -290,6 +290,65 @@
     assert_eq!(limit.rate(), None);
 }
 
+/// Guards against a gate that restarts beside a limited target and fills its slots before the first
+/// response.
+#[test]
+fn a_target_is_queried_before_its_slots_are_filled() {
+    let now = Instant::now();
+    let mut queue = WorkQueue::new(9).with_rate_limit(RateLimit::unreported(now));
+    assert_eq!(queue.rate_limit().health_check_due_at(), Some(now));
+    let runs = |queue: &mut WorkQueue| {
+        let offer =
+            |_: &usize| matches!(queue.offer(now, request(now, false)), QueueDecision::Run(_));
+        (0..20).take_while(offer).count()
+    };
+    assert_eq!(runs(&mut queue), 1);
+    let mut limited_queue = queue.clone();
+    let limit = limited_queue.rate_limit_mut();
+    limit.record(now, now, ReportSource::HealthCheck, limited(2.0));
+    limit.record_health_check_end();
+    assert_eq!(limit.next_dispatch_at(now), Some(now + Duration::from_millis(500)));
+    assert_eq!(runs(&mut limited_queue), 0);
+    queue.rate_limit_mut().record_health_check_end();
+    assert_eq!(runs(&mut queue), 6);
+}
+
+/// Guards against short requests on behalf of less urgent ones that take all that a limited target
+/// still gets.
+#[test]
+fn the_most_urgent_request_goes_first_at_a_limited_target() {
+    let start = Instant::now();
+    let mut queue = WorkQueue::new(9);
+    let of_kind = |now: Instant, kind, rank| WorkRequest { kind, rank, ..request(now, true) };
+    let mut now = start;
+    for (kind, time) in [(1, 10), (2, 200)].into_iter().cycle().take(40) {
+        let QueueDecision::Run(key) = queue.offer(now, of_kind(now, kind, 0)) else {
+            panic!("no free slot");
+        };
+        now += Duration::from_millis(time);
+        queue.release(now, key, WorkOutcome::Completed);
+    }
+    queue.rate_limit_mut().record(now, now, ReportSource::Request, limited(10.0));
+    while matches!(queue.offer(now, of_kind(now, 1, 0)), QueueDecision::Run(_)) {}
+    queue.poll(now);
+    let (short, urgent) = (of_kind(now, 1, 5), of_kind(now, 2, 1));
+    let keys = [short, urgent].map(|request| match queue.offer(now, request) {
+        QueueDecision::Wait(key) => key,
+        other => panic!("{other:?}"),
+    });
+    now += Duration::from_millis(210);
+    let order: Vec<_> = queue
+        .poll(now)
+        .into_iter()
+        .map(|result| match result {
+            WaitResult::Run(key, _) | WaitResult::Refused(key, _) => key,
+        })
+        .collect();
+    let at = |key| order.iter().position(|ran| *ran == key);
+    assert!(at(keys[1]).is_some(), "{order:?}");
+    assert!(at(keys[0]).is_none_or(|short| Some(short) > at(keys[1])), "{order:?}");
+}
+
 quickcheck! {
     /// No sequence of limits lets more through than the highest of them allows.
     fn any_sequence_of_limits_stays_within_the_highest(rates: Vec<u8>) -> bool {
--- a/crates/yuccarackd/src/coordination/routed/gate/health_checks.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/health_checks.rs
@@ -1,7 +1,8 @@
 //! Health checks of the gate's own target.
 //!
 //! A check queries the slowdown where no response has reported it for a while, whether the target
-//! is cold, and the rate limit of a target that gets few requests.
+//! is cold, the rate limit of a target that gets few requests, and what a target that the gate has
+//! just found announced before.
 
 use std::{
     sync::Arc,
@@ -61,6 +62,7 @@
             },
             Some(_) => {
                 let result = check(gate, active).await;
+                active.slots.change(|queue, _| queue.rate_limit_mut().record_health_check_end());
                 schedule.record(Instant::now(), result);
             }
         }
--- a/crates/yuccarackd/src/coordination/routed/gate/work_slots.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/work_slots.rs
@@ -51,7 +51,7 @@
         let queue = WorkQueue::new(slots)
             .with_decisions(decisions)
             .with_cold_rate(cold_rate)
-            .with_rate_limit(RateLimit::unreported());
+            .with_rate_limit(RateLimit::unreported(Instant::now()));
         let state = State { queue, waiting: HashMap::new() };
         Self {
             shared: Arc::new(Shared {
