LIMIT: an entry's knowledge doesn't replace a limit that the target has announced to this process

What a target would see: a gate that restarted, queried its target and got a limit of 9 requests a second went back to 2, as an entry returned what it had passed on before; seen by reading, no run showed it. Cause: adopting was refused only for an equal rate. Change: a limit that is known to this process is not replaced. Result: the test of the decision covers it.

--- a/crates/yuccarack_policy/src/rate_limit.rs
+++ b/crates/yuccarack_policy/src/rate_limit.rs
@@ -119,12 +119,12 @@
         true
     }
 
-    /// Adopts a limit that the target announced to another process, until its first response.
-    /// Returns whether that changed anything.
+    /// Adopts a limit that the target announced to another process, unless it has announced one to
+    /// this process. Holds until the first response. Returns whether that changed anything.
     ///
     /// The other process may have dispatched a request just now.
     pub fn adopt(&mut self, now: Instant, rate: RequestRate) -> bool {
-        if !self.is_unreported || self.rate == Some(rate) {
+        if !self.is_unreported || self.rate.is_some() {
             return false;
         }
         self.rate = Some(rate);
--- a/crates/yuccarack_policy/tests/rate_limit.rs
+++ b/crates/yuccarack_policy/tests/rate_limit.rs
@@ -284,6 +284,9 @@
     assert!(limit.adopt(at(0), RequestRate::new(2_000)));
     assert!(!limit.adopt(at(0), RequestRate::new(2_000)));
     assert_eq!(limit.next_dispatch_at(at(0)), Some(at(500)));
+    let mut queried = RateLimit::unreported(start);
+    queried.record(at(0), at(0), ReportSource::HealthCheck, limited(9.0));
+    assert!(!queried.adopt(at(1), RequestRate::new(2_000)), "an older limit replaced a newer one");
     limit.record_dispatch(at(500));
     assert!(limit.record(at(520), at(500), ReportSource::Request, LimitReport::Unlimited));
     assert!(!limit.adopt(at(530), RequestRate::new(2_000)));
