--- a/crates/yuccarackd/tests/routed/leaving.rs
+++ b/crates/yuccarackd/tests/routed/leaving.rs
@@ -65,7 +65,7 @@
 }
 
 /// Guards against a restarted gate that admits requests for a target which has announced that it
-/// leaves to an earlier process, while the store, which has the announcement, is away.
+/// leaves to an earlier process, while the store, which has the announcement, is unavailable.
 #[tokio::test]
 async fn an_entry_remembers_the_announcement_of_a_leaving_target_for_its_restarted_gate() {
     let mut deployment = deployed("remembers", &["board", "board"]).await;
--- a/crates/yuccarackd/tests/routed/soak/pipelining_callers.rs
+++ b/crates/yuccarackd/tests/routed/soak/pipelining_callers.rs
@@ -97,6 +97,7 @@
                 id: call.1.id.clone(),
                 instance: self.instance,
                 kind: call.0,
+                connected_at: sent_at,
                 sent_at,
                 ended_at: Instant::now(),
                 is_abandoned: abandon_after.is_some() && result.is_err(),
--- a/crates/yuccarackd/tests/routed/soak/violations.rs
+++ b/crates/yuccarackd/tests/routed/soak/violations.rs
@@ -196,6 +196,13 @@
         if self.has_fault_during_call(call, is_unavailable) {
             return true;
         }
+        // The connection may be one of a process that was killed before the call.
+        let is_killed = |fault| fault == Fault::KilledDaemon(at);
+        if result == CallFailure::NotSent
+            && self.has_fault_within(call.connected_at, call.sent_at, is_killed)
+        {
+            return true;
+        }
         let is_closing = self.record.spans.iter().any(|span| {
             span.fault == Fault::StoppedDaemon(at)
                 && span.from + STOP_NOTICE <= call.ended_at
