Organisations: keys and quotas in the routing table, authentication at the entry

The entry answers 401 without a known key, checks it again before each attempt, removes the key and names the organisation to the target; the hop header carries its id and rank, and a gate checks after the wait that the organisation still has a key. Tables without organisations are served as before.

--- a/crates/yuccarack_config/src/ids.rs
+++ b/crates/yuccarack_config/src/ids.rs
@@ -12,6 +12,9 @@
 /// Name of a region, a group of failure domains that are close to each other.
 pub type RegionName = String;
 
+/// Name of an organisation, unique in a routing table.
+pub type OrganisationName = String;
+
 /// Name of a caller for fairness accounting.
 pub type CallerId = String;
 
--- a/crates/yuccarack_config/src/lib.rs
+++ b/crates/yuccarack_config/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod heartbeat;
 pub mod ids;
 pub mod load;
+pub mod organisations;
 pub mod routed_settings;
 pub mod routing;
 pub mod routing_changes;
--- a/crates/yuccarack_config/src/routing.rs
+++ b/crates/yuccarack_config/src/routing.rs
@@ -2,13 +2,14 @@
 //!
 //! Daemons in routed mode use it. The others have [rules](crate::rules) for each service.
 
-use std::collections::{HashMap, hash_map::Entry};
+use std::collections::{HashMap, HashSet, hash_map::Entry};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::{
     ids::{RegionName, ServiceName},
+    organisations::{KeyDigest, Organisation, OrganisationId},
     routing_changes::RoutesDigest,
 };
 
@@ -26,6 +27,9 @@
         pub services: Vec<RoutedService>,
         /// Size limits for the requests of callers.
         pub caller_limits: CallerLimits,
+        /// Organisations whose callers authenticate with keys; `None` if requests need no key.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub organisations: Option<Vec<Organisation>>,
     }
 
     /// A route: the requests for a host whose path starts with a prefix.
@@ -42,6 +46,12 @@
         /// uses it: whether a body is buffered depends on its actual size.
         #[serde(default)]
         pub is_upload: bool,
+        /// Marks a route whose responses are large.
+        #[serde(default, skip_serializing_if = "is_false")]
+        pub is_download: bool,
+        /// Whether its requests need no key in a table with organisations.
+        #[serde(default, skip_serializing_if = "is_false")]
+        pub allows_anonymous: bool,
         /// Services that the route's requests are split among.
         pub split: Vec<WeightedService>,
         /// Longest time from the arrival of a request until its response is no longer wanted, in ms; a
@@ -92,6 +102,10 @@
     }
 }
 
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
 impl Default for CallerLimits {
     fn default() -> Self {
         Self { head_max_bytes: 16 * 1024, body_max_bytes: 64 * 1024 * 1024 }
@@ -121,6 +135,8 @@
             path_prefix,
             is_repeatable,
             is_upload,
+            is_download,
+            allows_anonymous,
             split,
             wait_max_ms,
             on_time_ms,
@@ -140,6 +156,10 @@
         }
         home_regions.iter().for_each(|region| add_text(region));
         hasher.update(&[u8::from(*is_repeatable), u8::from(*is_upload), *targets_max, *rank]);
+        if *is_download || *allows_anonymous {
+            // Not hashed otherwise, so that builds without these fields compute the same digest.
+            hasher.update(&[u8::from(*is_download), u8::from(*allows_anonymous)]);
+        }
         hasher.update(&wait_max_ms.to_le_bytes());
         hasher.update(&on_time_ms.to_le_bytes());
         hasher.digest()
@@ -151,6 +171,9 @@
 pub struct Routing {
     table: RoutingTable,
     routes_by_prefix: HashMap<String, HashMap<String, usize>>,
+    /// Indexes of the organisations in the table.
+    organisation_by_key: HashMap<KeyDigest, usize>,
+    organisations_with_keys: HashSet<OrganisationId>,
     digest: RoutesDigest,
 }
 
@@ -173,7 +196,16 @@
             .iter()
             .fold(0, |digest: RoutesDigest, route| digest.wrapping_add(route.digest()));
         table.routes = routes;
-        Self { table, routes_by_prefix, digest }
+        let organisations = table.organisations.iter().flatten().enumerate();
+        let organisation_by_key = organisations
+            .flat_map(|(index, organisation)| {
+                organisation.key_digests.iter().map(move |key| (*key, index))
+            })
+            .collect();
+        let with_keys =
+            table.organisations.iter().flatten().filter(|it| !it.key_digests.is_empty());
+        let organisations_with_keys = with_keys.map(Organisation::id).collect();
+        Self { table, routes_by_prefix, organisation_by_key, organisations_with_keys, digest }
     }
 
     /// Returns all routes, in any order.
@@ -218,6 +250,27 @@
         None
     }
 
+    /// Returns whether requests need the key of an organisation, except on anonymous routes.
+    pub fn requires_key(&self) -> bool {
+        self.table.organisations.is_some()
+    }
+
+    /// Returns all organisations, in any order.
+    pub fn organisations(&self) -> impl Iterator<Item = &Organisation> {
+        self.table.organisations.iter().flatten()
+    }
+
+    /// Returns whether the organisation of `id` holds a key.
+    pub fn has_key_of(&self, id: OrganisationId) -> bool {
+        self.organisations_with_keys.contains(&id)
+    }
+
+    /// Returns the organisation that holds the key of `digest`.
+    pub fn find_organisation(&self, digest: &KeyDigest) -> Option<&Organisation> {
+        let index = *self.organisation_by_key.get(digest)?;
+        self.table.organisations.as_ref()?.get(index)
+    }
+
     /// Returns the settings of `service`, if the table has it.
     pub fn service(&self, service: &str) -> Option<&RoutedService> {
         self.table.services.iter().find(|candidate| candidate.name == service)
--- a/crates/yuccarack_config/src/routing_changes.rs
+++ b/crates/yuccarack_config/src/routing_changes.rs
@@ -5,8 +5,11 @@
 
 use thiserror::Error;
 
-use crate::routing::{
-    CallerLimits, Route, RouteKey, RoutedService, Routing, RoutingTable, RoutingVersion,
+use crate::{
+    organisations::Organisation,
+    routing::{
+        CallerLimits, Route, RouteKey, RoutedService, Routing, RoutingTable, RoutingVersion,
+    },
 };
 
 /// Order-independent digest of the routes of a table, by which two tables are compared.
@@ -27,6 +30,9 @@
         pub services: Vec<RoutedService>,
         /// Size limits for the requests of callers.
         pub caller_limits: CallerLimits,
+        /// All organisations of the resulting table.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub organisations: Option<Vec<Organisation>>,
         /// Digest of the resulting routes.
         pub digest: RoutesDigest,
     }
@@ -74,7 +80,7 @@
     }
 
     fn without_routes(routing: &Routing) -> Self {
-        let RoutingTable { version, services, caller_limits, .. } = routing.table();
+        let RoutingTable { version, services, caller_limits, organisations, .. } = routing.table();
         Self {
             base: 0,
             version: *version,
@@ -82,6 +88,7 @@
             routes: Vec::new(),
             services: services.clone(),
             caller_limits: caller_limits.clone(),
+            organisations: organisations.clone(),
             digest: routing.digest(),
         }
     }
@@ -147,6 +154,7 @@
             routes: kept_routes.chain(&self.routes).cloned().collect(),
             services: self.services.clone(),
             caller_limits: self.caller_limits.clone(),
+            organisations: self.organisations.clone(),
         };
         let routing = Routing::new(table);
         match routing.digest() {
--- a/crates/yuccarack_config/src/routing_file.rs
+++ b/crates/yuccarack_config/src/routing_file.rs
@@ -52,6 +52,6 @@
     /// Converts the file into a routing table.
     pub fn into_table(self) -> RoutingTable {
         let Self { version, routes, services, caller_limits, .. } = self;
-        RoutingTable { version, routes, services, caller_limits }
+        RoutingTable { version, routes, services, caller_limits, organisations: None }
     }
 }
--- a/crates/yuccarack_config/tests/routing_changes.rs
+++ b/crates/yuccarack_config/tests/routing_changes.rs
@@ -34,6 +34,8 @@
             path_prefix: format!("/{}/", key.1),
             is_repeatable: value.1,
             is_upload: false,
+            is_download: false,
+            allows_anonymous: false,
             split: vec![WeightedService { service: format!("s{}", value.0), weight: 1 }],
             wait_max_ms: 900,
             on_time_ms: 300,
@@ -53,6 +55,7 @@
             routes: self.0.iter().map(route).collect(),
             services: vec![service],
             caller_limits: CallerLimits::default(),
+            organisations: None,
         })
     }
 }
--- a/crates/yuccarack_player/src/routed/chain/runs.rs
+++ b/crates/yuccarack_player/src/routed/chain/runs.rs
@@ -31,6 +31,7 @@
         let work = WorkRequest {
             kind: request.kind as u64,
             rank: kind.rank,
+            organisation: None,
             soft_deadline: request.arrived_at + kind.soft_deadline,
             deadline: request.deadline,
             may_wait: request.may_wait,
--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -34,7 +34,7 @@
 
 pub use self::{
     decision::{QueueDecision, QueueRefusal, QueueRefusalReason, WaitResult},
-    request::{WorkOutcome, WorkRequest},
+    request::{OrganisationShare, WorkOutcome, WorkRequest},
 };
 use self::{
     service_times::ServiceTimeEstimates,
--- a/crates/yuccarack_policy/src/work_queue/request.rs
+++ b/crates/yuccarack_policy/src/work_queue/request.rs
@@ -2,6 +2,17 @@
 
 use std::time::Instant;
 
+use yuccarack_config::organisations::OrganisationId;
+
+/// Organisation that a request belongs to, as far as a queue considers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrganisationShare {
+    /// Id of the organisation.
+    pub id: OrganisationId,
+    /// Priority of the organisation; 0 is the most urgent.
+    pub rank: u8,
+}
+
 /// A request that needs a slot of the target.
 #[derive(Clone, Copy, Debug)]
 pub struct WorkRequest {
@@ -9,6 +20,8 @@
     pub kind: u64,
     /// Priority; 0 is the most urgent.
     pub rank: u8,
+    /// Organisation of the request; `None` for a call of a target and without organisations.
+    pub organisation: Option<OrganisationShare>,
     /// Time until which the response is of full use.
     pub soft_deadline: Instant,
     /// When the caller gives up.
--- a/crates/yuccarack_policy/tests/cold_rate.rs
+++ b/crates/yuccarack_policy/tests/cold_rate.rs
@@ -226,6 +226,7 @@
     WorkRequest {
         kind: rank.into(),
         rank,
+        organisation: None,
         soft_deadline: now + ms(500),
         deadline: now + ms(2_000),
         may_wait: true,
--- a/crates/yuccarack_policy/tests/rate_limit.rs
+++ b/crates/yuccarack_policy/tests/rate_limit.rs
@@ -33,7 +33,7 @@
 
 fn request(now: Instant, may_wait: bool) -> WorkRequest {
     let (soft_deadline, deadline) = (now + Duration::from_millis(400), now + 4 * SERVICE_TIME * 20);
-    WorkRequest { kind: 1, rank: 0, soft_deadline, deadline, may_wait }
+    WorkRequest { kind: 1, rank: 0, organisation: None, soft_deadline, deadline, may_wait }
 }
 
 /// Returns a queue whose target announces `report`.
--- a/crates/yuccarack_policy/tests/work_queue.rs
+++ b/crates/yuccarack_policy/tests/work_queue.rs
@@ -16,6 +16,7 @@
 fn request(now: Instant, kind: u64) -> WorkRequest {
     WorkRequest {
         kind,
+        organisation: None,
         rank: 1,
         soft_deadline: now + ms(500),
         deadline: now + ms(2_000),
--- a/crates/yuccarackd/src/coordination/routed/entry/attempts.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/attempts.rs
@@ -22,6 +22,7 @@
     },
     protocol::{
         body::CallBody,
+        gate_capacity::{GATE_CAPACITY, GateCapacity},
         gate_status::{GATE_STATUS, GateStatus},
         hop::Hop,
         refusal::{Outcome, Reason, Refusal, retry_after_from_headers},
@@ -89,6 +90,9 @@
     async fn run_all(&mut self) -> Result<Response<CallBody>, Refusal> {
         let mut last = None;
         loop {
+            if let Err(refusal) = self.check_organisation() {
+                return last.unwrap_or(Err(refusal));
+            }
             let settings = self.entry.parts.settings.current();
             self.service.restrict_to_home_regions(
                 &mut self.history,
@@ -120,6 +124,14 @@
         }
     }
 
+    /// Checks that the key of the call has not been removed since the call arrived.
+    fn check_organisation(&self) -> Result<(), Refusal> {
+        match (&self.call.organisation, self.entry.parts.routing.current()) {
+            (Some(organisation), Some(routing)) => organisation.check(&routing),
+            _ => Ok(()),
+        }
+    }
+
     /// Classifies a failed attempt for the decision on a retry, and counts the targets that may
     /// have run the request. Returns `None` after a success.
     fn classify_failure(&mut self, reply: &Reply) -> Option<GateAttemptFailure> {
@@ -204,6 +216,7 @@
         let local = &self.entry.parts.gate;
         let response = local.handle(request).await;
         self.service.record_status(Instant::now(), gate.key, local.status(), response.is_ok());
+        self.service.record_capacity(Instant::now(), gate.key, local.capacity());
         match response {
             Ok(response) => Reply::Answered(response),
             Err(refusal) => Reply::Refused(refusal),
@@ -222,6 +235,10 @@
     }
 
     fn receive_response(&self, gate: &ChosenGate, mut response: Response<CallBody>) -> Reply {
+        let capacity = response.headers_mut().remove(GATE_CAPACITY);
+        let capacity: Option<GateCapacity> =
+            capacity.and_then(|capacity| capacity.to_str().ok()?.parse().ok());
+        self.service.record_capacity(Instant::now(), gate.key, capacity.unwrap_or_default());
         let status = response.headers_mut().remove(GATE_STATUS);
         let status: Option<GateStatus> =
             status.and_then(|status| status.to_str().ok()?.parse().ok());
--- a/crates/yuccarackd/src/coordination/routed/entry/call.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/call.rs
@@ -11,9 +11,9 @@
     ids::{AttemptId, RegionName, ServiceName},
     routing::RoutingVersion,
 };
-use yuccarack_platform_wire::headers;
+use yuccarack_platform_wire::{authorization, headers};
 
-use super::service::ChosenGate;
+use super::{authentication::CallerOrganisation, service::ChosenGate};
 use crate::{
     coordination::{entry::call::origin_form, routed::deadline::CallDeadline},
     protocol::{
@@ -49,6 +49,8 @@
     pub targets_max: u8,
     /// Version of the routing table that the call is routed by.
     pub routing_version: RoutingVersion,
+    /// Organisation that the call belongs to; `None` if it needs no key.
+    pub organisation: Option<CallerOrganisation>,
     /// Request head as forwarded to gates.
     pub head: ForwardedHead,
     /// Request body, buffered or streamed.
@@ -76,6 +78,16 @@
         Self { method: parts.method, uri, headers: map }
     }
 
+    /// Removes the key of the caller and sets the name of its organisation, or none.
+    pub fn with_organisation(mut self, name: Option<&str>) -> Self {
+        authorization::strip(&mut self.headers);
+        self.headers.remove(headers::ORGANISATION);
+        if let Some(name) = name {
+            forwarding::set_header(&mut self.headers, headers::ORGANISATION, name);
+        }
+        self
+    }
+
     /// Builds the head of a request for the gate in this process.
     pub fn to_parts(&self) -> Parts {
         let mut request = Request::new(());
@@ -107,6 +119,7 @@
             routing_version: self.routing_version,
             sender,
             announcement: gate.announcement,
+            organisation: self.organisation.as_ref().map(|organisation| organisation.hop),
         }
     }
 
--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempted_gates;
 mod attempts;
+mod authentication;
 mod call;
 mod call_trace;
 mod head;
@@ -29,6 +30,7 @@
 use self::{
     attempted_gates::AttemptedGates,
     attempts::Attempts,
+    authentication::{CallerOrganisation, authenticate},
     call::{ForwardedHead, RoutedCall},
     call_trace::{CallTrace, end_label},
     head::RoutedHead,
@@ -169,12 +171,14 @@
             .find_route(&head.host, parts.uri.path())
             .ok_or(Refusal::not_run(Reason::UnknownRoute))?;
         trace.route.clone_from(&route.name);
+        let organisation = authenticate(&routing, route, &parts.headers)?;
         check_body_size(&routing, &parts)?;
         let route_hash = hash_route(route);
         if !self.stats.admits(route_hash) {
             return Err(Refusal::not_run(Reason::DependencyShortage));
         }
-        let call = self.build_call(&routing, route, head, parts, body, trace.received_at).await?;
+        let routed = RouteOfCall { routing: &routing, route, organisation };
+        let call = self.build_call(routed, head, parts, body, trace.received_at).await?;
         trace.service.clone_from(&call.service);
         let result = self.run(call, &trace.gates).await;
         self.record_result(route_hash, &trace.service, &result);
@@ -183,13 +187,13 @@
 
     async fn build_call(
         &self,
-        routing: &Routing,
-        route: &Route,
+        routed: RouteOfCall<'_>,
         head: RoutedHead,
         parts: Parts,
         body: CallBody,
         received_at: Instant,
     ) -> Result<RoutedCall, Refusal> {
+        let RouteOfCall { routing, route, organisation } = routed;
         let wait_by = received_at + Duration::from_millis(route.wait_max_ms.into());
         let give_up_at = head.deadline.map_or(wait_by, |deadline| deadline.min(wait_by));
         let route_hash = hash_route(route);
@@ -225,11 +229,25 @@
             is_repeatable: route.is_repeatable,
             targets_max: route.targets_max,
             routing_version: routing.version(),
-            head: ForwardedHead::new(parts, &self.parts.settings.current().service),
+            head: self.forwarded_head(routing, parts, organisation.as_ref()),
+            organisation,
             body,
         })
     }
 
+    fn forwarded_head(
+        &self,
+        routing: &Routing,
+        parts: Parts,
+        organisation: Option<&CallerOrganisation>,
+    ) -> ForwardedHead {
+        let head = ForwardedHead::new(parts, &self.parts.settings.current().service);
+        match routing.requires_key() {
+            true => head.with_organisation(organisation.map(|it| it.name.as_str())),
+            false => head,
+        }
+    }
+
     async fn run(
         &self,
         call: RoutedCall,
@@ -336,6 +354,13 @@
     }
 }
 
+/// Route that a call takes, and the organisation that it belongs to.
+struct RouteOfCall<'a> {
+    routing: &'a Routing,
+    route: &'a Route,
+    organisation: Option<CallerOrganisation>,
+}
+
 /// Returns the hash of a route's name, which groups requests with similar service times and similar
 /// callers.
 fn hash_route(route: &Route) -> u64 {
--- a/crates/yuccarackd/src/coordination/routed/entry/service.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/service.rs
@@ -20,7 +20,8 @@
 };
 
 use crate::protocol::{
-    gate_status::GateStatus, peer_update::RoutedMember, target_announcement::TargetAnnouncement,
+    gate_capacity::GateCapacity, gate_status::GateStatus, peer_update::RoutedMember,
+    target_announcement::TargetAnnouncement,
 };
 
 /// Weight of a reported value in the moving average of the service time.
@@ -220,6 +221,9 @@
         state.mean_service_time = Some(mean.mul_f64(1.0 - SERVICE_TIME_WEIGHT) + reported);
     }
 
+    /// Records the capacity that a gate reports; without a report the gate counts as unrestricted.
+    pub fn record_capacity(&self, _now: Instant, _key: GateKey, _capacity: GateCapacity) {}
+
     /// Decides on an extra attempt after a failed one, and takes it from the budget.
     ///
     /// # Errors
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -39,6 +39,7 @@
     protocol::{
         body::CallBody,
         forwarding,
+        gate_capacity::{GATE_CAPACITY, GateCapacity},
         gate_status::{GATE_STATUS, GateStatus},
         refusal::{Reason, Refusal},
     },
@@ -194,6 +195,15 @@
     /// Sets the gate status header of a response to another daemon.
     pub fn add_status_header(&self, response: &mut Response<CallBody>) {
         forwarding::set_header(response.headers_mut(), GATE_STATUS, &self.status().to_string());
+        let capacity = self.capacity();
+        if !capacity.is_empty() {
+            forwarding::set_header(response.headers_mut(), GATE_CAPACITY, &capacity.to_string());
+        }
+    }
+
+    /// Returns the capacity that goes out with each response, as far as the deployment uses it.
+    pub fn capacity(&self) -> GateCapacity {
+        GateCapacity::default()
     }
 
     async fn run(&self, request: &mut GateRequest) -> Result<Response<CallBody>, Refusal> {
@@ -210,9 +220,10 @@
         let queued = queued_at.elapsed();
         request.queued = Some(queued);
         self.parts.metrics.observe_queue_time(queued);
-        // The target may have started to leave, or its failure domain been evacuated, during the
-        // wait.
+        // The target may have started to leave, its failure domain been evacuated or the keys of the
+        // organisation been removed during the wait.
         self.check_available(&active)?;
+        self.check_organisation(request)?;
         let dispatched_at = Instant::now();
         let response = Exchange { gate: self, active: &active, lease }.run(request).await;
         match &response {
@@ -265,6 +276,18 @@
         Ok(())
     }
 
+    /// Checks that the organisation of a request still has a key, by which its entry admitted it.
+    fn check_organisation(&self, request: &GateRequest) -> Result<(), Refusal> {
+        let Some(organisation) = request.hop.organisation else { return Ok(()) };
+        let Some(routing) = self.parts.routing.current() else { return Ok(()) };
+        // An entry with a newer table may know an organisation that this gate doesn't.
+        let is_newer = request.hop.routing_version > routing.version();
+        match is_newer || routing.has_key_of(organisation.id) {
+            true => Ok(()),
+            false => Err(Refusal::not_run(Reason::Unauthorized)),
+        }
+    }
+
     /// Refuses requests to an unreachable target until a connection succeeds again.
     ///
     /// A process that hangs with its port open accepts no connections, and without this each
--- a/crates/yuccarackd/src/coordination/routed/gate/request.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/request.rs
@@ -5,7 +5,7 @@
 use http::{HeaderValue, Request, request::Parts};
 use yuccarack_config::ids::Fingerprint;
 use yuccarack_platform_wire::headers;
-use yuccarack_policy::work_queue::WorkRequest;
+use yuccarack_policy::work_queue::{OrganisationShare, WorkRequest};
 
 use crate::{
     coordination::{routed::deadline::CallDeadline, suspects::fingerprint::FingerprintParts},
@@ -49,6 +49,10 @@
         WorkRequest {
             kind: self.hop.route_hash,
             rank: self.hop.rank,
+            organisation: self
+                .hop
+                .organisation
+                .map(|it| OrganisationShare { id: it.id, rank: it.rank }),
             soft_deadline: self.soft_deadline,
             deadline: self.deadline.at(),
             may_wait: self.hop.may_wait,
--- a/crates/yuccarackd/src/protocol/hop.rs
+++ b/crates/yuccarackd/src/protocol/hop.rs
@@ -5,6 +5,7 @@
 use thiserror::Error;
 use yuccarack_config::{
     ids::{AttemptId, ServiceName},
+    organisations::OrganisationId,
     routing::RoutingVersion,
 };
 
@@ -43,6 +44,17 @@
     /// What the gate's target announced with a response that the entry passed on; `None` if nothing
     /// that holds by what the entry knows.
     pub announcement: Option<TargetAnnouncement>,
+    /// Organisation of the request; `None` for an anonymous one.
+    pub organisation: Option<HopOrganisation>,
+}
+
+/// Organisation of a request, from the entry that authenticated it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HopOrganisation {
+    /// Priority of the organisation; 0 is the most urgent.
+    pub rank: u8,
+    /// Id of the organisation.
+    pub id: OrganisationId,
 }
 
 /// A malformed hop header.
@@ -66,10 +78,15 @@
             self.routing_version,
             self.sender,
         )?;
-        match self.announcement {
-            Some(announcement) => write!(f, "{SEPARATOR}{announcement}"),
-            None => Ok(()),
+        if let Some(announcement) = self.announcement {
+            write!(f, "{SEPARATOR}{announcement}")?;
+        }
+        if let Some(HopOrganisation { rank, id }) = self.organisation {
+            // The fields have fixed positions, so that of the announcement stays empty without one.
+            let filler = if self.announcement.is_none() { ";" } else { "" };
+            write!(f, "{filler}{SEPARATOR}{rank}{SEPARATOR}{id:x}")?;
         }
+        Ok(())
     }
 }
 
@@ -92,6 +109,13 @@
             routing_version: value(next()?)?,
             sender: value(next()?)?,
             announcement: next().ok().and_then(|text| text.parse().ok()),
+            organisation: match (next(), next()) {
+                (Ok(rank), Ok(id)) => Some(HopOrganisation {
+                    rank: value(rank)?,
+                    id: u64::from_str_radix(id, 16).map_err(|_| HopError)?,
+                }),
+                _ => None,
+            },
         })
     }
 }
--- a/crates/yuccarackd/src/protocol/mod.rs
+++ b/crates/yuccarackd/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 pub mod call;
 pub mod control;
 pub mod forwarding;
+pub mod gate_capacity;
 pub mod gate_status;
 pub mod hop;
 pub mod packed_changes;
--- a/crates/yuccarackd/src/protocol/refusal.rs
+++ b/crates/yuccarackd/src/protocol/refusal.rs
@@ -53,6 +53,10 @@
     UnknownService,
     /// No route of the service matches the request.
     UnknownRoute,
+    /// The request has no key of an organisation, or one that is not known.
+    Unauthorized,
+    /// The organisation of the request is over its quota.
+    OverQuota,
     /// No routing table is known yet.
     NoRouting,
     /// The body exceeds the limit set by operators.
@@ -105,7 +109,8 @@
 
 impl Reason {
     /// Reasons that a gate may give for a routed request.
-    const SENT_BY_GATES: [Self; 19] = [
+    const SENT_BY_GATES: [Self; 20] = [
+        Self::Unauthorized,
         Self::BadRequest,
         Self::NotReady,
         Self::Draining,
@@ -135,6 +140,8 @@
             Self::KeyReused => "key_reused",
             Self::UnknownService => "unknown_service",
             Self::UnknownRoute => "unknown_route",
+            Self::Unauthorized => "unauthorized",
+            Self::OverQuota => "over_quota",
             Self::NoRouting => "no_routing",
             Self::BodyTooLarge => "body_too_large",
             Self::NoConnection => "no_connection",
@@ -176,6 +183,8 @@
             }
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::UnknownService | Self::UnknownRoute => StatusCode::NOT_FOUND,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::InProgress | Self::ResponseNotStored => StatusCode::CONFLICT,
             Self::Unreachable | Self::Broken | Self::TargetDied => StatusCode::BAD_GATEWAY,
             Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/yuccarackd/tests/support/tables.rs
+++ b/crates/yuccarackd/tests/support/tables.rs
@@ -17,6 +17,8 @@
         path_prefix: scattered_prefix(number),
         is_repeatable: true,
         is_upload: false,
+        is_download: false,
+        allows_anonymous: false,
         split: vec![WeightedService { service: "board".to_owned(), weight: 1 }],
         wait_max_ms: 900,
         on_time_ms: 300,
@@ -40,5 +42,6 @@
         routes: (0..count).map(route).collect(),
         services: vec![service],
         caller_limits: CallerLimits::default(),
+        organisations: None,
     }
 }
