LINK: long responses to other instances are paced by the rate of the link

Cause: a short call took 10 ms of queue and 37 ms of run at its gate (90th percentile) but over 211 ms at its entry, since the gate wrote responses of 90 kB at once, several at a time, into a link of 12 Mbit/s.

The setting link_kbit_per_s (from the platform's link_mbps) and a route with is_download enable it; without either nothing changes. Responses to the own entry, refusals and messages between daemons are never held. The gate status reports the backlog, and there are two gauges and a counter.

--- a/crates/yuccarack_config/src/routed_settings.rs
+++ b/crates/yuccarack_config/src/routed_settings.rs
@@ -63,6 +63,9 @@
         /// Rate limit of log lines about requests, in percent of the usual limits; 0 writes none.
         #[serde(default = "defaults::log_lines_percent")]
         pub log_lines_percent: u16,
+        /// Rate of the link of this instance, in kbit/s; 0 if unknown, and responses aren't paced.
+        #[serde(default, deserialize_with = "rounded_down")]
+        pub link_kbit_per_s: u32,
         /// Times and limits that operators set for the whole fleet.
         #[serde(default)]
         pub bounds: RoutedBounds,
--- a/crates/yuccarack_config/src/routed_settings/check.rs
+++ b/crates/yuccarack_config/src/routed_settings/check.rs
@@ -25,6 +25,7 @@
     Field::optional("routing_file", Kind::AbsolutePath),
     Field::optional("log", LOG),
     Field::optional("log_lines_percent", Kind::number(0, 1_000)),
+    Field::optional("link_kbit_per_s", Kind::rounded(0, 100_000_000)),
     Field::optional("bounds", BOUNDS),
     Field::optional("decisions", DECISIONS),
 ]);
--- a/crates/yuccarack_config/src/routing.rs
+++ b/crates/yuccarack_config/src/routing.rs
@@ -174,6 +174,7 @@
     /// Indexes of the organisations in the table.
     organisation_by_key: HashMap<KeyDigest, usize>,
     organisations_with_keys: HashSet<OrganisationId>,
+    has_downloads: bool,
     digest: RoutesDigest,
 }
 
@@ -195,6 +196,7 @@
         let digest = routes
             .iter()
             .fold(0, |digest: RoutesDigest, route| digest.wrapping_add(route.digest()));
+        let has_downloads = routes.iter().any(|route| route.is_download);
         table.routes = routes;
         let organisations = table.organisations.iter().flatten().enumerate();
         let organisation_by_key = organisations
@@ -205,7 +207,14 @@
         let with_keys =
             table.organisations.iter().flatten().filter(|it| !it.key_digests.is_empty());
         let organisations_with_keys = with_keys.map(Organisation::id).collect();
-        Self { table, routes_by_prefix, organisation_by_key, organisations_with_keys, digest }
+        Self {
+            table,
+            routes_by_prefix,
+            organisation_by_key,
+            organisations_with_keys,
+            has_downloads,
+            digest,
+        }
     }
 
     /// Returns all routes, in any order.
@@ -219,6 +228,11 @@
         Some(&self.table.routes[*index])
     }
 
+    /// Returns whether a route has large responses.
+    pub fn has_downloads(&self) -> bool {
+        self.has_downloads
+    }
+
     /// Returns the digest of all routes.
     pub fn digest(&self) -> RoutesDigest {
         self.digest
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -6,6 +6,8 @@
 mod exchange;
 mod health_checks;
 mod idle_drop_tracker;
+mod link;
+mod paced_body;
 mod request;
 mod server;
 mod work_slots;
@@ -27,6 +29,7 @@
 
 pub use self::{
     crash_tracker::{CrashTracker, CrashTrackerParts},
+    link::GateLink,
     request::GateRequest,
     server::GateServer,
 };
@@ -86,6 +89,8 @@
     pub crashes: CrashTracker,
     /// Connection pool for requests to the target.
     pub upstream: Upstream,
+    /// Link that the responses to other instances share.
+    pub link: GateLink,
     /// Counters of refusals, health checks and lost connections.
     pub counters: Counters,
     /// Histograms of the queue time and the target's response times.
@@ -203,7 +208,8 @@
 
     /// Returns the capacity that goes out with each response, as far as the deployment uses it.
     pub fn capacity(&self) -> GateCapacity {
-        GateCapacity::default()
+        let link_backlog = self.parts.link.backlog(Instant::now());
+        GateCapacity { link_backlog, ..GateCapacity::default() }
     }
 
     async fn run(&self, request: &mut GateRequest) -> Result<Response<CallBody>, Refusal> {
--- a/crates/yuccarackd/src/coordination/routed/gate/server.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/server.rs
@@ -42,7 +42,10 @@
         self.peers.note_sender(hop.sender);
         let read = SendableBody::read(&parts, body, BUFFERED_BODY_MAX_BYTES).await;
         let body = read.map_err(|_| Refusal::not_run(Reason::CallerBodyCut))?;
-        self.gate.handle(GateRequest::new(now, hop, parts, body)).await
+        let request = GateRequest::new(now, hop, parts, body);
+        let soft_deadline = request.soft_deadline;
+        let response = self.gate.handle(request).await?;
+        Ok(self.gate.parts.link.pace(soft_deadline, response))
     }
 }
 
--- a/crates/yuccarackd/src/daemon/routed/assembly.rs
+++ b/crates/yuccarackd/src/daemon/routed/assembly.rs
@@ -13,7 +13,7 @@
         control_server::ControlServer,
         entry::{RoutedEntry, RoutedEntryParts},
         events::EventLog,
-        gate::{CrashTracker, CrashTrackerParts, Gate, GateParts, GateServer},
+        gate::{CrashTracker, CrashTrackerParts, Gate, GateLink, GateParts, GateServer},
         metrics_server::MetricsServer,
         peers::{Peers, PeersParts},
         relay_follower::RelayFollower,
@@ -64,7 +64,9 @@
 
 impl RoutedAssembly {
     pub(super) fn start_gate(&self) -> Arc<Gate> {
+        let link = self.start_link();
         let gate = Arc::new(Gate::new(GateParts {
+            link,
             target: self.target.clone(),
             routing: self.routing.clone(),
             evacuations: self.evacuations.clone(),
@@ -89,6 +91,26 @@
         gate
     }
 
+    /// Starts the pacing of responses, if the settings name the rate of the link.
+    fn start_link(&self) -> GateLink {
+        let link_kbit_per_s = self.settings.current().link_kbit_per_s;
+        let link = GateLink::new(link_kbit_per_s, self.routing.clone(), self.counters.clone());
+        if link.has_rate() {
+            let (waiting, backlog) = (link.clone(), link.clone());
+            let help = "Bytes of long responses that wait for the link.";
+            self.metrics.register_gauge("link_waiting_bytes", help, move || {
+                i64::try_from(waiting.waiting_bytes()).unwrap_or(i64::MAX)
+            });
+            let help = "Time that the link needs for what is to be sent.";
+            self.metrics.register_gauge("link_backlog_milliseconds", help, move || {
+                let backlog = backlog.backlog(std::time::Instant::now()).unwrap_or_default();
+                i64::try_from(backlog.as_millis()).unwrap_or(i64::MAX)
+            });
+            self.tasks.background.spawn(link.clone().run(self.stops.background.clone()));
+        }
+        link
+    }
+
     /// Starts the exchange of state with the store and with peers.
     pub(super) fn start_sync(&self) -> (Peers, RowPublisher) {
         let platform = PlatformClient::new(self.settings.current().store_address, RESPONSE_TIMEOUT);
