--- a/crates/yuccarack_config/src/routing.rs
+++ b/crates/yuccarack_config/src/routing.rs
@@ -196,6 +196,7 @@
         let digest = routes
             .iter()
             .fold(0, |digest: RoutesDigest, route| digest.wrapping_add(route.digest()));
+        let has_downloads = routes.iter().any(|route| route.is_download);
         table.routes = routes;
         let organisations = table.organisations.iter().flatten().enumerate();
         let organisation_by_key = organisations
@@ -206,7 +207,6 @@
         let with_keys =
             table.organisations.iter().flatten().filter(|it| !it.key_digests.is_empty());
         let organisations_with_keys = with_keys.map(Organisation::id).collect();
-        let has_downloads = table.routes.iter().any(|route| route.is_download);
         Self {
             table,
             routes_by_prefix,
@@ -228,6 +228,11 @@
         Some(&self.table.routes[*index])
     }
 
+    /// Returns whether a route has large responses.
+    pub fn has_downloads(&self) -> bool {
+        self.has_downloads
+    }
+
     /// Returns the digest of all routes.
     pub fn digest(&self) -> RoutesDigest {
         self.digest
