LINK: entries count a gate's backlog, gates refuse downloads that can't leave in time

Cause: entries chose gates of downloads without regard to their links, and a gate ran downloads whose response could not be sent before the deadline.

Change: the gate status reports the backlog and the rate of its link. An entry adds the backlog, aged, and the transfer time to the expected response time of a request whose responses are long, and half of a piece to that of others. It learns the usual size of each route's responses; the penalty of another failure domain is proportional to it. A gate refuses a request with long responses with 503 link_full, not run, if the backlog plus its usual size can't be sent before the deadline, and if it may go to another gate while the backlog is over 100 ms. A download waits at home if that costs less than the traffic to another domain. Without a route with is_download choices are as before.

--- a/crates/yuccarack_policy/src/lib.rs
+++ b/crates/yuccarack_policy/src/lib.rs
@@ -14,7 +14,7 @@
 //!   gate with [`placement`], divides a route over several services by [`split`], and limits what
 //!   it sends by [`extra_attempts`], [`adaptive_throttle`] and [`prior_wait`]. The gate queues
 //!   requests in [`work_queue`], which uses [`cold_rate`], [`rate_limit`] and
-//!   [`slowdown`]; it paces its responses by [`link_pacing`], checks its target by
+//!   [`slowdown`]; it paces its responses by [`link_pacing`] and [`response_sizes`], checks its target by
 //!   [`health_checks`] and counts crashes in [`crash_counts`]. [`relays`] and
 //!   [`unreachable_members`] limit the control traffic and the list of members.
 //!
@@ -37,6 +37,7 @@
 pub mod prior_wait;
 pub mod rate_limit;
 pub mod relays;
+pub mod response_sizes;
 pub mod retry;
 pub mod slowdown;
 pub mod split;
--- a/crates/yuccarack_policy/src/link_pacing.rs
+++ b/crates/yuccarack_policy/src/link_pacing.rs
@@ -33,10 +33,38 @@
 /// runs them late; less would limit a fast link to a piece per timer.
 const LEAD_MIN: Duration = Duration::from_millis(3);
 
+/// Largest backlog of a link at which a request with a long response is taken that may also go to
+/// another gate. Reports of backlogs are too old to choose by, as each of many entries gets few. In a
+/// replay of a peak 95.3 % of downloads were on time with this bound, 94.7 % with 200 ms, 95.5 % with
+/// 50 ms and 93.0 % without one.
+const BACKLOG_WITHOUT_WAIT_MAX: Duration = Duration::from_millis(100);
+
+/// Request with a long response, for which a gate decides whether its link has room.
+#[derive(Clone, Copy, Debug)]
+pub struct LongRequest {
+    /// When its caller gives up.
+    pub deadline: Instant,
+    /// Whether the request may wait at the gate. If not, it can go to another one.
+    pub may_wait: bool,
+    /// Usual size of its response.
+    pub bytes: u64,
+}
+
+/// Returns the time that a link of the rate `link_kbit_per_s` needs for `bytes` of responses.
+pub fn transfer_time(link_kbit_per_s: u32, bytes: u64) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / paced_bytes_per_s(link_kbit_per_s) as f64)
+}
+
+/// Returns the part of a link's rate that is used for responses.
+fn paced_bytes_per_s(link_kbit_per_s: u32) -> u64 {
+    let link_bytes_per_s = u64::from(link_kbit_per_s.max(1)) * 1_000 / 8;
+    (link_bytes_per_s * USED_PERCENT / 100).max(1)
+}
+
 /// Divides a link among the responses that are sent over it.
 #[derive(Clone, Debug)]
 pub struct LinkPacer {
-    bytes_per_s: u64,
+    link_kbit_per_s: u32,
     /// Time until which the link is busy with the bytes that were sent so far.
     busy_until: Option<Instant>,
     responses: SlotMap<ResponseKey, LongResponse>,
@@ -70,12 +98,7 @@
 impl LinkPacer {
     /// Creates the pacer of a link with the rate `link_kbit_per_s`, at least 1.
     pub fn new(link_kbit_per_s: u32) -> Self {
-        let link_bytes_per_s = u64::from(link_kbit_per_s.max(1)) * 1_000 / 8;
-        Self {
-            bytes_per_s: (link_bytes_per_s * USED_PERCENT / 100).max(1),
-            busy_until: None,
-            responses: SlotMap::with_key(),
-        }
+        Self { link_kbit_per_s, busy_until: None, responses: SlotMap::with_key() }
     }
 
     /// Charges bytes that are sent at once.
@@ -152,6 +175,29 @@
         self.busy_for(now) + self.transfer_time(self.waiting_bytes())
     }
 
+    /// Returns the rate of the link.
+    pub fn link_kbit_per_s(&self) -> u32 {
+        self.link_kbit_per_s
+    }
+
+    /// Decides whether a request is taken, whose response has to be sent before the deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which such a request could be taken.
+    pub fn admit(&self, now: Instant, request: LongRequest) -> Result<(), Duration> {
+        let completes_at = self.completes_at(now, request.bytes);
+        let excess = completes_at.saturating_duration_since(request.deadline);
+        let surplus = match request.may_wait {
+            true => Duration::ZERO,
+            false => self.backlog(now).saturating_sub(BACKLOG_WITHOUT_WAIT_MAX),
+        };
+        match excess.max(surplus) {
+            Duration::ZERO => Ok(()),
+            wait => Err(wait),
+        }
+    }
+
     /// Estimates when a new response of `bytes` would be complete, if everything that is to be sent
     /// went first.
     pub fn completes_at(&self, now: Instant, bytes: u64) -> Instant {
@@ -172,6 +218,6 @@
 
     /// Returns the time that the link needs for `bytes` at the paced rate.
     pub fn transfer_time(&self, bytes: u64) -> Duration {
-        Duration::from_secs_f64(bytes as f64 / self.bytes_per_s as f64)
+        transfer_time(self.link_kbit_per_s, bytes)
     }
 }
--- a/crates/yuccarack_policy/src/placement/gate.rs
+++ b/crates/yuccarack_policy/src/placement/gate.rs
@@ -4,6 +4,7 @@
 
 use yuccarack_config::announcement::RequestRate;
 
+use super::link::{LinkLoad, LinkReport};
 use crate::slowdown::SlowdownEstimate;
 
 /// Load that a gate reports with each response.
@@ -69,6 +70,7 @@
     pub outstanding: u16,
     load: Option<(GateLoad, Instant)>,
     slowdown: SlowdownEstimate,
+    link: Option<LinkLoad>,
     /// Requests sent since the latest load report.
     sent_since_report: u16,
     failure_share: f64,
@@ -85,6 +87,7 @@
             outstanding: 0,
             load: None,
             slowdown: SlowdownEstimate::new(),
+            link: None,
             sent_since_report: 0,
             failure_share: 0.0,
             unavailable_until: None,
@@ -99,6 +102,22 @@
         self.sent_since_report = 0;
     }
 
+    pub fn record_link(&mut self, now: Instant, report: Option<LinkReport>) {
+        self.link = report.map(|report| LinkLoad::new(now, report));
+    }
+
+    /// Records that a request was sent whose response is expected to have `bytes`.
+    pub fn record_expected_response(&mut self, bytes: u64) {
+        if let Some(link) = &mut self.link {
+            link.record_attempt(bytes);
+        }
+    }
+
+    /// Returns the time that a response of `bytes` needs over the gate's link.
+    pub fn link_delay(&self, now: Instant, bytes: u64) -> Duration {
+        self.link.map_or(Duration::ZERO, |link| link.delay(now, bytes))
+    }
+
     pub fn record_attempt(&mut self) {
         self.outstanding += 1;
         self.sent_since_report = self.sent_since_report.saturating_add(1);
--- a/crates/yuccarack_policy/src/placement/mod.rs
+++ b/crates/yuccarack_policy/src/placement/mod.rs
@@ -11,6 +11,8 @@
 //! first ones when no other gate is available or the chosen gate is known to be full.
 
 mod gate;
+mod link;
+mod request;
 
 use std::time::{Duration, Instant};
 
@@ -19,7 +21,11 @@
 use yuccarack_config::decisions::FeatureSwitches;
 
 use self::gate::Gate;
-pub use self::gate::{GateAttemptOutcome, GateLoad};
+pub use self::{
+    gate::{GateAttemptOutcome, GateLoad},
+    link::LinkReport,
+    request::{ExpectedRequest, REMOTE_PENALTY},
+};
 
 new_key_type! {
     /// Key of a gate at one entry.
@@ -37,13 +43,6 @@
 /// service is full or unavailable.
 pub const ATTEMPTS_MAX: usize = 4;
 
-/// Response time by which a gate in another failure domain must be better than a local one.
-///
-/// A round trip between failure domains takes 1 to 3 ms of it. The rest stands for the traffic
-/// between them, which operators pay for: 5 kB cost as much as 6 % of the value of a response that
-/// arrives in time.
-pub const REMOTE_PENALTY: Duration = Duration::from_millis(150);
-
 /// Factor on the share of failures in a gate's cost; one failure in ten counts as much as a fifth
 /// of a service time.
 const FAILURE_COST: f64 = 2.0;
@@ -147,22 +146,34 @@
     }
 
     /// Chooses a gate for the next attempt of a request, given its `history`. Returns `None` when
-    /// no other gate is worth an attempt.
+    /// no other gate is worth an attempt. `request` is what is expected of it, or just its mean service
+    /// time.
     pub fn choose(
         &self,
         now: Instant,
         rng: &mut impl Rng,
         history: &AttemptHistory,
-        mean_service_time: Duration,
+        request: impl Into<ExpectedRequest>,
     ) -> Option<PlacementChoice> {
+        let request = request.into();
         let allowed = || self.gates.iter().filter(|(key, _)| !history.excluded.contains(key));
         let available = || allowed().filter(|(_, gate)| !gate.is_unavailable(now));
         let untried = || available().filter(|(key, _)| !history.attempted.contains(key));
         // A gate whose rate limit has no room now would only refuse a request that may not wait.
         let open = untried().filter(|(_, gate)| gate.rate_limit_wait(now).is_zero());
         if history.attempted.len() < ATTEMPTS_WITHOUT_WAIT
-            && let Some(gate) = self.best_candidate(now, open, rng, mean_service_time)
+            && let Some(gate) = self.best_candidate(now, open, rng, request)
         {
+            let attempted = available().filter(|(key, _)| {
+                history.attempted.contains(key) && !history.exhausted.contains(key)
+            });
+            if request.has_long_response()
+                && let Some(waiting) = self.best_candidate(now, attempted, rng, request)
+                && self.cost_of(waiting, now, request) < self.cost_of(gate, now, request)
+            {
+                // The only other gates are in other failure domains, which costs more than a wait.
+                return Some(PlacementChoice { gate: waiting, may_wait: true });
+            }
             let may_wait = available().count() == 1 || self.is_known_full(now, gate);
             return Some(PlacementChoice { gate, may_wait });
         }
@@ -170,7 +181,7 @@
             return None;
         }
         let unexhausted = available().filter(|(key, _)| !history.exhausted.contains(key));
-        if let Some(gate) = self.best_candidate(now, unexhausted, rng, mean_service_time) {
+        if let Some(gate) = self.best_candidate(now, unexhausted, rng, request) {
             return Some(PlacementChoice { gate, may_wait: true });
         }
         if history.has_serving_gate {
@@ -182,9 +193,8 @@
         let unavailable = allowed()
             .filter(|(key, gate)| gate.is_unavailable(now) && !history.attempted.contains(key));
         let reachable = unavailable.clone().filter(|(_, gate)| !gate.is_unreachable);
-        let gate = self.best_candidate(now, reachable, rng, mean_service_time);
-        let gate =
-            gate.or_else(|| self.best_candidate(now, unavailable, rng, mean_service_time))?;
+        let gate = self.best_candidate(now, reachable, rng, request);
+        let gate = gate.or_else(|| self.best_candidate(now, unavailable, rng, request))?;
         Some(PlacementChoice { gate, may_wait: true })
     }
 
@@ -194,12 +204,11 @@
         now: Instant,
         candidates: impl Iterator<Item = (GateKey, &'a Gate)>,
         rng: &mut impl Rng,
-        mean_service_time: Duration,
+        request: ExpectedRequest,
     ) -> Option<GateKey> {
         let drawn = candidates.choose_multiple(rng, CANDIDATES_COMPARED);
         let mut jittered_cost = |gate: &Gate| {
-            self.cost(gate, now, mean_service_time)
-                .mul_f64(rng.random_range(1.0..1.0 + COST_JITTER))
+            self.cost(gate, now, request).mul_f64(rng.random_range(1.0..1.0 + COST_JITTER))
         };
         let costs = drawn.into_iter().map(|(key, gate)| (jittered_cost(gate), key));
         costs.min_by_key(|(cost, _)| *cost).map(|(_, key)| key)
@@ -217,6 +226,13 @@
         }
     }
 
+    /// Records that the response to a request sent to a gate is expected to have `bytes`.
+    pub fn record_expected_response(&mut self, key: GateKey, bytes: u64) {
+        if let Some(gate) = self.gates.get_mut(key) {
+            gate.record_expected_response(bytes);
+        }
+    }
+
     /// Records the outcome of an attempt, once for each [`Placement::record_attempt`].
     pub fn record_outcome(&mut self, now: Instant, key: GateKey, outcome: GateAttemptOutcome) {
         if let Some(gate) = self.gates.get_mut(key) {
@@ -231,6 +247,13 @@
         }
     }
 
+    /// Records the state of its link that a gate reports; `None` if it doesn't pace its responses.
+    pub fn record_link(&mut self, now: Instant, key: GateKey, report: Option<LinkReport>) {
+        if let Some(gate) = self.gates.get_mut(key) {
+            gate.record_link(now, report);
+        }
+    }
+
     /// Returns whether the chosen gate is known to have no free slot. It is the best of a few
     /// random ones, so the others are probably full too, and an attempt that may not wait would
     /// probably cost a round trip without result.
@@ -238,14 +261,21 @@
         self.gates.get(key).is_some_and(|gate| gate.is_load_fresh(now) && gate.excess(now) > 0.0)
     }
 
-    fn cost(&self, gate: &Gate, now: Instant, mean_service_time: Duration) -> Duration {
-        let expected = gate
-            .expected_response_time(now, mean_service_time)
+    fn cost_of(&self, key: GateKey, now: Instant, request: ExpectedRequest) -> Option<Duration> {
+        self.gates.get(key).map(|gate| self.cost(gate, now, request))
+    }
+
+    fn cost(&self, gate: &Gate, now: Instant, request: ExpectedRequest) -> Duration {
+        let served = gate
+            .expected_response_time(now, request.mean_service_time)
             .mul_f64(1.0 + FAILURE_COST * gate.failure_share());
+        let link_delay =
+            request.response_bytes.map_or(Duration::ZERO, |bytes| gate.link_delay(now, bytes));
+        let expected = served + link_delay;
         if gate.is_local || !self.decisions.home_first {
             expected
         } else {
-            expected + REMOTE_PENALTY
+            expected + request.remote_penalty()
         }
     }
 }
--- a/crates/yuccarack_policy/src/work_queue/decision.rs
+++ b/crates/yuccarack_policy/src/work_queue/decision.rs
@@ -48,6 +48,8 @@
     CannotEndInTime,
     /// The request would miss its soft deadline and delay everything behind it.
     TooLate,
+    /// The link of the instance has no room for the response in time.
+    LinkFull,
     /// The target is draining.
     Draining,
 }
@@ -62,6 +64,7 @@
             Self::Slow => "slow",
             Self::CannotEndInTime => "cannot_end_in_time",
             Self::TooLate => "too_late",
+            Self::LinkFull => "link_full",
             Self::Draining => "leaving",
         }
     }
--- a/crates/yuccarack_policy/tests/link_pacing.rs
+++ b/crates/yuccarack_policy/tests/link_pacing.rs
@@ -4,8 +4,8 @@
 
 use std::time::{Duration, Instant};
 
-use link_replay::{Load, Replay};
-use yuccarack_policy::link_pacing::{LinkPacer, PIECE_MAX_BYTES};
+use link_replay::{Choice, Load, Replay};
+use yuccarack_policy::link_pacing::{LinkPacer, LongRequest, PIECE_MAX_BYTES};
 
 /// Link of 12 Mbit/s.
 const LINK_KBIT_PER_S: u32 = 12_000;
@@ -34,11 +34,13 @@
 /// 10 ms of queue and 37 ms of run at the gate, but over 211 ms until their entry had the response.
 #[test]
 fn short_responses_pass_downloads() {
+    let choices = [Choice::Informed, Choice::Reported, Choice::Refused];
     for link_kbit_per_s in [11_000, LINK_KBIT_PER_S, 1_000_000] {
         let load = Load { link_kbit_per_s, ..download_load() };
-        let paced = Replay::new(load, 1).run();
-        let share = paced.short_share_within(ms(30));
-        assert!(share >= 0.99, "{share} at {link_kbit_per_s} kbit/s");
+        for choice in choices {
+            let share = Replay::new(load, 1, choice).run().short_share_within(ms(30));
+            assert!(share >= 0.99, "{share} at {link_kbit_per_s} kbit/s, {choice:?}");
+        }
     }
 }
 
@@ -48,7 +50,7 @@
 fn downloads_use_the_link() {
     for link_kbit_per_s in [11_000, LINK_KBIT_PER_S, 1_000_000] {
         let load = Load { link_kbit_per_s, ..download_load() };
-        let totals = Replay::new(load, 2).run();
+        let totals = Replay::new(load, 2, Choice::Informed).run();
         let short_bytes_per_s = load.short_per_s * 1_900.0;
         let carried_per_s =
             f64::from(link_kbit_per_s) * 125.0 * 0.9 * load.links as f64 - short_bytes_per_s;
@@ -64,7 +66,7 @@
 /// 2,170.
 #[test]
 fn most_downloads_stay_on_time_in_a_peak() {
-    let totals = Replay::new(download_load(), 2).run();
+    let totals = Replay::new(download_load(), 2, Choice::Informed).run();
     let share = totals.downloads_on_time as f64 / totals.downloads as f64;
     assert!(share > 0.95, "{} of {}", totals.downloads_on_time, totals.downloads);
 }
@@ -147,6 +149,20 @@
     assert_eq!(pacer.completes_at(now, 67_500) - now, ms(260));
 }
 
+/// Guards against downloads that wait behind others although another gate could take them, and
+/// against refusals that ask to come back too early.
+#[test]
+fn a_backlog_refuses_what_may_go_elsewhere() {
+    let now = Instant::now();
+    let mut pacer = LinkPacer::new(LINK_KBIT_PER_S);
+    pacer.reserve(now + ms(300), 270_000);
+    let request = LongRequest { deadline: now + ms(400), may_wait: true, bytes: 135_000 };
+    assert_eq!(pacer.admit(now, request), Ok(()));
+    assert_eq!(pacer.admit(now, LongRequest { may_wait: false, ..request }), Err(ms(100)));
+    let urgent = LongRequest { deadline: now + ms(250), ..request };
+    assert_eq!(pacer.admit(now, urgent), Err(ms(50)));
+}
+
 /// Guards against a slow start of a fast link: timers are late by a millisecond, in which the link
 /// carries over 100 kB.
 #[test]
--- a/crates/yuccarack_policy/tests/link_replay/mod.rs
+++ b/crates/yuccarack_policy/tests/link_replay/mod.rs
@@ -1,4 +1,7 @@
 //! Replays responses of several gates over links that send in order of arrival, in steps of 1 ms.
+//!
+//! The gates of downloads are chosen by their backlogs at that moment, or by entries, which know them
+//! from the reports that came with earlier responses.
 
 use std::{
     collections::VecDeque,
@@ -6,11 +9,20 @@
 };
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use yuccarack_policy::link_pacing::{LinkPacer, ResponseKey};
+use yuccarack_policy::{
+    link_pacing::{LinkPacer, LongRequest, ResponseKey},
+    placement::{AttemptHistory, ExpectedRequest, GateKey, GateReply, LinkReport, Placement},
+};
 
 /// Bytes of a response's head.
 const HEAD_BYTES: u64 = 400;
 
+/// Number of entries, each of which knows only what came with its own responses.
+const ENTRIES: usize = 90;
+
+/// Mean time that a target needs for a download.
+const SERVICE_TIME: Duration = Duration::from_millis(61);
+
 /// Load of all links together.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
@@ -66,9 +78,28 @@
     rng: SmallRng,
     start: Instant,
     links: Vec<Link>,
+    entries: Vec<Entry>,
+    choice: Choice,
     totals: Totals,
 }
 
+/// How the gates of downloads are chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// By the backlogs of a few gates at that moment, which no entry knows.
+    Informed,
+    /// By entries with reports of the backlogs. Gates take what they may queue.
+    Reported,
+    /// Likewise, and the gates refuse what may go elsewhere while they have a backlog.
+    Refused,
+}
+
+struct Entry {
+    placement: Placement,
+    /// Gates in the order of their links.
+    gates: Vec<GateKey>,
+}
+
 struct Link {
     pacer: LinkPacer,
     /// What the kernel has to send.
@@ -83,7 +114,7 @@
 }
 
 enum Content {
-    Short(Instant),
+    Short(Instant, usize),
     Piece,
     LastPiece(Download),
 }
@@ -95,11 +126,20 @@
     unsent: u64,
     soft_deadline: Instant,
     deadline: Instant,
+    entry: usize,
+}
+
+impl Entry {
+    fn new(links: usize) -> Self {
+        let mut placement = Placement::new();
+        let gates = (0..links).map(|_| placement.add(true)).collect();
+        Self { placement, gates }
+    }
 }
 
 impl Replay {
     /// Prepares a run.
-    pub fn new(load: Load, seed: u64) -> Self {
+    pub fn new(load: Load, seed: u64, choice: Choice) -> Self {
         let links = (0..load.links).map(|_| Link {
             pacer: LinkPacer::new(load.link_kbit_per_s),
             sending: VecDeque::new(),
@@ -111,6 +151,8 @@
             rng: SmallRng::seed_from_u64(seed),
             start: Instant::now(),
             links: links.collect(),
+            entries: (0..ENTRIES).map(|_| Entry::new(load.links)).collect(),
+            choice,
             totals: Totals::default(),
         }
     }
@@ -125,14 +167,24 @@
             (0..self.arrivals(rate)).for_each(|_| self.add_download(now, is_peak));
             (0..self.arrivals(self.load.short_per_s)).for_each(|_| self.add_short(now));
             let bytes_per_ms = f64::from(self.load.link_kbit_per_s) / 8.0;
-            for link in &mut self.links {
+            for number in 0..self.links.len() {
+                let link = &mut self.links[number];
                 link.send_pieces(now);
-                link.advance(now + Duration::from_millis(1), bytes_per_ms, &mut self.totals);
+                let end = now + Duration::from_millis(1);
+                let receivers = link.advance(end, bytes_per_ms, &mut self.totals);
+                receivers.into_iter().for_each(|entry| self.report(end, number, entry));
             }
         }
         self.totals
     }
 
+    fn report(&mut self, now: Instant, number: usize, entry: usize) {
+        let Entry { placement, gates } = &mut self.entries[entry];
+        let backlog = self.links[number].pacer.backlog(now);
+        let report = LinkReport { backlog, kbit_per_s: Some(self.load.link_kbit_per_s) };
+        placement.record_link(now, gates[number], Some(report));
+    }
+
     /// Draws the number of arrivals in 1 ms.
     fn arrivals(&mut self, per_s: f64) -> usize {
         let tries = 20;
@@ -142,9 +194,10 @@
     fn add_short(&mut self, now: Instant) {
         let bytes = self.load.short_bytes + HEAD_BYTES;
         let number = self.rng.random_range(0..self.links.len());
+        let entry = self.rng.random_range(0..ENTRIES);
         let link = &mut self.links[number];
         link.pacer.charge(now, bytes);
-        link.sending.push_back(Message { bytes, content: Content::Short(now) });
+        link.sending.push_back(Message { bytes, content: Content::Short(now, entry) });
     }
 
     fn add_download(&mut self, now: Instant, is_peak: bool) {
@@ -159,17 +212,40 @@
         self.totals.downloads += 1;
         let (soft_deadline, deadline) =
             (now + self.load.download_soft_deadline, now + self.load.download_deadline);
-        // Entries compare the backlog of a few gates.
-        let drawn = [0; 4].map(|_| self.rng.random_range(0..self.links.len()));
-        let backlog = |number: &usize| self.links[*number].pacer.backlog(now);
-        let Some(number) = drawn.into_iter().min_by_key(backlog) else { return };
-        let link = &mut self.links[number];
         let usual = self.load.download_mean_bytes as u64;
-        if link.pacer.completes_at(now, usual) > deadline {
+        let entry = self.rng.random_range(0..ENTRIES);
+        let Some(number) = self.choose_link(now, entry, deadline) else { return };
+        let link = &mut self.links[number];
+        let request = LongRequest { deadline, may_wait: true, bytes: usual };
+        if link.pacer.admit(now, request).is_err() {
             return;
         }
         let key = link.pacer.reserve(soft_deadline, bytes);
-        link.downloads.push(Download { key, bytes, unsent: bytes, soft_deadline, deadline });
+        link.downloads.push(Download { key, bytes, unsent: bytes, soft_deadline, deadline, entry });
+    }
+
+    fn choose_link(&mut self, now: Instant, entry: usize, deadline: Instant) -> Option<usize> {
+        if self.choice == Choice::Informed {
+            let drawn = [0; 4].map(|_| self.rng.random_range(0..self.links.len()));
+            return drawn.into_iter().min_by_key(|link| self.links[*link].pacer.backlog(now));
+        }
+        let bytes = self.load.download_mean_bytes as u64;
+        let request =
+            ExpectedRequest { mean_service_time: SERVICE_TIME, response_bytes: Some(bytes) };
+        let mut history = AttemptHistory::default();
+        loop {
+            let Entry { placement, gates } = &mut self.entries[entry];
+            let chosen = placement.choose(now, &mut self.rng, &history, request)?;
+            placement.record_expected_response(chosen.gate, bytes);
+            let number = gates.iter().position(|gate| *gate == chosen.gate)?;
+            let may_wait = chosen.may_wait || self.choice == Choice::Reported;
+            let request = LongRequest { deadline, may_wait, bytes };
+            if may_wait || self.links[number].pacer.admit(now, request).is_ok() {
+                return Some(number);
+            }
+            history.record(chosen.gate, GateReply::NoFreeSlot);
+            self.report(now, number, entry);
+        }
     }
 }
 
@@ -197,25 +273,31 @@
         }
     }
 
-    /// Sends what the link carries in 1 ms.
-    fn advance(&mut self, now: Instant, bytes_per_ms: f64, totals: &mut Totals) {
+    /// Sends what the link carries in 1 ms; returns the entries that received a whole response.
+    fn advance(&mut self, now: Instant, bytes_per_ms: f64, totals: &mut Totals) -> Vec<usize> {
+        let mut receivers = Vec::new();
         let mut room = bytes_per_ms;
         while let Some(message) = self.sending.front() {
             let missing = message.bytes as f64 - self.sent_of_first;
             if missing > room {
                 self.sent_of_first += room;
-                return;
+                return receivers;
             }
             room -= missing;
             self.sent_of_first = 0.0;
             match self.sending.pop_front().map(|message| message.content) {
-                Some(Content::Short(since)) => totals.short_times.push(now - since),
+                Some(Content::Short(since, entry)) => {
+                    receivers.push(entry);
+                    totals.short_times.push(now - since);
+                }
                 Some(Content::LastPiece(download)) if now <= download.deadline => {
+                    receivers.push(download.entry);
                     totals.download_bytes_in_time += download.bytes as f64;
                     totals.downloads_on_time += usize::from(now <= download.soft_deadline);
                 }
                 _ => {}
             }
         }
+        receivers
     }
 }
--- a/crates/yuccarackctl/src/logs/cause.rs
+++ b/crates/yuccarackctl/src/logs/cause.rs
@@ -7,7 +7,8 @@
 use super::{Event, EventKind};
 
 /// Refusal reasons of gates that have no capacity for a request.
-const NO_CAPACITY_REASONS: [&str; 4] = ["full", "slow", "too_late", "cannot_end_in_time"];
+const NO_CAPACITY_REASONS: [&str; 5] =
+    ["full", "slow", "too_late", "cannot_end_in_time", "link_full"];
 
 /// Refusal reason of gates whose target rejected the request.
 const SHED: &str = "shed";
--- a/crates/yuccarackd/src/coordination/routed/entry/attempts.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/attempts.rs
@@ -99,7 +99,9 @@
                 &self.call.home_regions,
                 &settings,
             );
-            let Some(gate) = self.service.choose(Instant::now(), &self.history) else {
+            let response_bytes = self.call.response_bytes;
+            let chosen = self.service.choose(Instant::now(), &self.history, response_bytes);
+            let Some(gate) = chosen else {
                 return last.unwrap_or_else(|| Err(Refusal::not_run(Reason::NoTarget)));
             };
             let reply = self.send(&gate).await;
--- a/crates/yuccarackd/src/coordination/routed/entry/call.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/call.rs
@@ -39,6 +39,8 @@
     pub service: ServiceName,
     /// Hash of the route's name, which groups requests with similar service times.
     pub route_hash: u64,
+    /// Usual size of the route's responses; `None` while no route has large ones or it is unknown.
+    pub response_bytes: Option<u64>,
     /// Rank of the call's route, by which gates order their queues.
     pub rank: u8,
     /// Regions whose targets may run the call; all regions if empty.
--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -182,6 +182,9 @@
         trace.service.clone_from(&call.service);
         let result = self.run(call, &trace.gates).await;
         self.record_result(route_hash, &trace.service, &result);
+        if let Ok(response) = &result {
+            self.stats.record_response_size(&routing, route_hash, response);
+        }
         result
     }
 
@@ -224,6 +227,7 @@
             received_at,
             service: self.choose_service(route)?,
             route_hash,
+            response_bytes: self.stats.usual_response_bytes(routing, route_hash),
             rank: route.rank,
             home_regions: route.home_regions.clone(),
             is_repeatable: route.is_repeatable,
--- a/crates/yuccarackd/src/coordination/routed/entry/route_stats.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/route_stats.rs
@@ -5,13 +5,17 @@
     time::{Duration, Instant},
 };
 
+use http::Response;
 use parking_lot::Mutex;
-use yuccarack_config::decisions::FeatureSwitches;
+use yuccarack_config::{decisions::FeatureSwitches, routing::Routing};
 use yuccarack_policy::{
     adaptive_throttle::{AdaptiveThrottle, RunResult, Shortages},
     prior_wait::PriorWaitEstimator,
+    response_sizes::ResponseSizes,
 };
 
+use crate::protocol::{body::CallBody, response_size::declared_size};
+
 /// Limit of tracked routes, which is above the number of routes in an operator's table.
 const ROUTES_MAX: usize = 4_096;
 
@@ -21,6 +25,7 @@
     /// Keys are the hashes of the routes' names.
     by_route: Mutex<HashMap<u64, StatsOfRoute>>,
     shortages: Mutex<Shortages>,
+    response_sizes: Mutex<ResponseSizes>,
 }
 
 #[derive(Default)]
@@ -32,7 +37,12 @@
 impl RouteStats {
     /// Creates empty statistics; `decisions` are the feature switches that enable their use.
     pub fn new(decisions: FeatureSwitches) -> Self {
-        Self { decisions, by_route: Mutex::default(), shortages: Mutex::default() }
+        Self {
+            decisions,
+            by_route: Mutex::default(),
+            shortages: Mutex::default(),
+            response_sizes: Mutex::default(),
+        }
     }
 
     /// Estimates how long the caller had waited with earlier, refused requests before this one
@@ -57,6 +67,28 @@
         self.update(route_hash, |stats| stats.prior_waits.record_refusal(now));
     }
 
+    /// Learns the size of the route's responses while a route has large ones.
+    pub fn record_response_size(
+        &self,
+        routing: &Routing,
+        route_hash: u64,
+        response: &Response<CallBody>,
+    ) {
+        let is_learned = routing.has_downloads() && response.status().is_success();
+        if let Some(bytes) = declared_size(response).filter(|_| is_learned) {
+            self.response_sizes.lock().record(route_hash, bytes);
+        }
+    }
+
+    /// Returns the usual size of the route's responses; `None` while no route has large ones and
+    /// before the first response.
+    pub fn usual_response_bytes(&self, routing: &Routing, route_hash: u64) -> Option<u64> {
+        routing
+            .has_downloads()
+            .then(|| self.response_sizes.lock().usual_bytes(route_hash))
+            .flatten()
+    }
+
     /// Records that `service` refused a request for lack of capacity.
     pub fn record_shortage(&self, now: Instant, service: &str) {
         self.shortages.lock().record_refusal(now, service);
--- a/crates/yuccarackd/src/coordination/routed/entry/service.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/service.rs
@@ -16,7 +16,9 @@
 };
 use yuccarack_policy::{
     extra_attempts::{ExtraAttempts, FailedGateAttempt, NoExtraAttemptReason},
-    placement::{AttemptHistory, GateAttemptOutcome, GateKey, Placement},
+    placement::{
+        AttemptHistory, ExpectedRequest, GateAttemptOutcome, GateKey, LinkReport, Placement,
+    },
 };
 
 use crate::protocol::{
@@ -158,12 +160,23 @@
 
     /// Chooses a gate for a request whose earlier attempts are in `history`, and counts the request
     /// as sent there.
-    pub fn choose(&self, now: Instant, history: &AttemptHistory) -> Option<ChosenGate> {
+    ///
+    /// `response_bytes` is the usual size of the response, if the choice depends on it.
+    pub fn choose(
+        &self,
+        now: Instant,
+        history: &AttemptHistory,
+        response_bytes: Option<u64>,
+    ) -> Option<ChosenGate> {
         let state = &mut *self.state.lock();
         let mean_service_time = state.mean_service_time.unwrap_or(DEFAULT_SERVICE_TIME);
-        let placed = state.placement.choose(now, &mut state.rng, history, mean_service_time)?;
+        let request = ExpectedRequest { mean_service_time, response_bytes };
+        let placed = state.placement.choose(now, &mut state.rng, history, request)?;
         let member = Arc::clone(state.member_by_key.get(placed.gate)?);
         state.placement.record_attempt(placed.gate);
+        if let Some(bytes) = response_bytes {
+            state.placement.record_expected_response(placed.gate, bytes);
+        }
         let announcement = state.announcement_by_key.get(placed.gate).copied();
         Some(ChosenGate { key: placed.gate, member, may_wait: placed.may_wait, announcement })
     }
@@ -222,7 +235,11 @@
     }
 
     /// Records the capacity that a gate reports; without a report the gate counts as unrestricted.
-    pub fn record_capacity(&self, _now: Instant, _key: GateKey, _capacity: GateCapacity) {}
+    pub fn record_capacity(&self, now: Instant, key: GateKey, capacity: GateCapacity) {
+        let kbit_per_s = capacity.link_kbit_per_s;
+        let report = capacity.link_backlog.map(|backlog| LinkReport { backlog, kbit_per_s });
+        self.state.lock().placement.record_link(now, key, report);
+    }
 
     /// Decides on an extra attempt after a failed one, and takes it from the budget.
     ///
--- a/crates/yuccarackd/src/coordination/routed/gate/link.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/link.rs
@@ -3,21 +3,29 @@
 use std::{
     sync::Arc,
     task::{Context, Poll, Waker},
-    time::{Duration, Instant},
+    time::Instant,
 };
 
-use http::{HeaderMap, Response, header};
-use http_body::Body;
+use http::Response;
 use http_body_util::BodyExt;
 use parking_lot::Mutex;
 use slotmap::SecondaryMap;
 use tokio::{sync::Notify, time::sleep_until};
 use tokio_util::sync::CancellationToken;
-use yuccarack_policy::link_pacing::{LinkPacer, ResponseKey, SHORT_MAX_BYTES};
+use yuccarack_policy::{
+    link_pacing::{LinkPacer, LongRequest, ResponseKey, SHORT_MAX_BYTES},
+    response_sizes::ResponseSizes,
+    work_queue::QueueRefusalReason,
+};
 
-use super::paced_body::PacedBody;
+use super::{GateRequest, paced_body::PacedBody};
 use crate::{
-    protocol::body::CallBody,
+    protocol::{
+        body::CallBody,
+        gate_capacity::GateCapacity,
+        refusal::{Reason, Refusal},
+        response_size::declared_size,
+    },
     state::{counters::Counters, routed::routing_state::RoutingState},
 };
 
@@ -37,6 +45,16 @@
     counters: Counters,
 }
 
+/// What is known of a response that is sent to another instance.
+pub struct SentResponse {
+    /// Hash of the name of its route.
+    pub route_hash: u64,
+    /// When the response is late.
+    pub soft_deadline: Instant,
+    /// Share in the link that was reserved for it.
+    pub share: Option<LinkShare>,
+}
+
 /// The pacer with the tasks that wait for it.
 struct Pacing {
     state: Mutex<PacingState>,
@@ -46,14 +64,19 @@
 struct PacingState {
     pacer: LinkPacer,
     wakers: SecondaryMap<ResponseKey, Waker>,
+    /// Usual sizes by the hash of the route's name.
+    sizes: ResponseSizes,
 }
 
 impl GateLink {
     /// Creates the link for the rate from the settings; 0 if it is unknown.
     pub fn new(link_kbit_per_s: u32, routing: RoutingState, counters: Counters) -> Self {
         let pacing = (link_kbit_per_s > 0).then(|| {
-            let state =
-                PacingState { pacer: LinkPacer::new(link_kbit_per_s), wakers: SecondaryMap::new() };
+            let state = PacingState {
+                pacer: LinkPacer::new(link_kbit_per_s),
+                wakers: SecondaryMap::new(),
+                sizes: ResponseSizes::default(),
+            };
             Arc::new(Pacing { state: Mutex::new(state), has_waiting: Notify::new() })
         });
         Self { pacing, routing, counters }
@@ -69,27 +92,51 @@
         self.pacing.as_ref().map_or(0, |pacing| pacing.state.lock().pacer.waiting_bytes())
     }
 
-    /// Returns the time that the link needs for everything that is to be sent; `None` while
-    /// responses aren't paced.
-    pub fn backlog(&self, now: Instant) -> Option<Duration> {
-        self.active().map(|pacing| pacing.state.lock().pacer.backlog(now))
+    /// Returns the state of the link that goes out with each response; empty while responses aren't
+    /// paced.
+    pub fn capacity(&self, now: Instant) -> GateCapacity {
+        let Some(pacing) = self.active() else { return GateCapacity::default() };
+        let pacer = &pacing.state.lock().pacer;
+        GateCapacity {
+            link_backlog: Some(pacer.backlog(now)),
+            link_kbit_per_s: Some(pacer.link_kbit_per_s()),
+            ..GateCapacity::default()
+        }
+    }
+
+    /// Reserves a share of the link for a request of another instance whose response is usually
+    /// long.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request whose response could not be sent before its deadline, or that may not wait
+    /// while many others do.
+    pub fn reserve(&self, request: &GateRequest) -> Result<Option<LinkShare>, Refusal> {
+        let Some(pacing) = self.active() else { return Ok(None) };
+        let mut state = pacing.state.lock();
+        let usual_bytes = state.sizes.usual_bytes(request.hop.route_hash);
+        let Some(bytes) = usual_bytes.filter(|bytes| *bytes > SHORT_MAX_BYTES) else {
+            return Ok(None);
+        };
+        let (deadline, may_wait) = (request.deadline.at(), request.hop.may_wait);
+        let long = LongRequest { deadline, may_wait, bytes };
+        state.pacer.admit(Instant::now(), long).map_err(|wait| {
+            Refusal::not_run(Reason::Admission(QueueRefusalReason::LinkFull.as_str()))
+                .with_retry_after(wait)
+        })?;
+        let key = state.pacer.reserve(request.soft_deadline, bytes);
+        Ok(Some(LinkShare { pacing: Arc::clone(pacing), key }))
     }
 
-    /// Charges a response to another instance, and paces it if it is long. `deadline` orders long
-    /// responses.
-    pub fn pace(&self, deadline: Instant, response: Response<CallBody>) -> Response<CallBody> {
+    /// Charges a response to another instance, and paces it if it is long.
+    pub fn send(&self, response: Response<CallBody>, sent: SentResponse) -> Response<CallBody> {
         let Some(pacing) = self.active() else { return response };
         let size = declared_size(&response);
-        let mut state = pacing.state.lock();
-        state.pacer.charge(Instant::now(), HEAD_BYTES);
-        if let Some(size) = size.filter(|size| *size <= SHORT_MAX_BYTES) {
-            state.pacer.charge(Instant::now(), size);
-            return response;
-        }
-        let key = state.pacer.reserve(deadline, size.unwrap_or(UNKNOWN_SIZE_BYTES));
-        drop(state);
+        let is_success = response.status().is_success();
+        let key = pacing.state.lock().charge_or_reserve(size, is_success, &sent);
+        let Some(key) = key else { return response };
         self.counters.add("gate.responses_paced");
-        let share = LinkShare { pacing: Arc::clone(pacing), key };
+        let share = sent.share.unwrap_or_else(|| LinkShare { pacing: Arc::clone(pacing), key });
         response.map(|body| PacedBody::new(body, share).boxed_unsync())
     }
 
@@ -122,6 +169,32 @@
 }
 
 impl PacingState {
+    /// Charges a short response; returns the share in the link of a long one.
+    fn charge_or_reserve(
+        &mut self,
+        size: Option<u64>,
+        is_success: bool,
+        sent: &SentResponse,
+    ) -> Option<ResponseKey> {
+        let now = Instant::now();
+        self.pacer.charge(now, HEAD_BYTES);
+        if let Some(bytes) = size.filter(|_| is_success) {
+            self.sizes.record(sent.route_hash, bytes);
+        }
+        let bytes = size.unwrap_or(UNKNOWN_SIZE_BYTES);
+        if bytes <= SHORT_MAX_BYTES {
+            self.pacer.charge(now, bytes);
+            return None;
+        }
+        match &sent.share {
+            Some(share) => {
+                self.pacer.begin(share.key, bytes);
+                Some(share.key)
+            }
+            None => Some(self.pacer.reserve(sent.soft_deadline, bytes)),
+        }
+    }
+
     /// Grants the pieces that the link has room for, and returns when it has room for a further one.
     fn grant_pieces(&mut self, now: Instant) -> Option<Instant> {
         while let Some(key) = self.pacer.grant(now) {
@@ -161,13 +234,3 @@
         state.wakers.remove(self.key);
     }
 }
-
-/// Returns the size of a response's body, if it is known before its end.
-fn declared_size(response: &Response<CallBody>) -> Option<u64> {
-    let hint = response.body().size_hint();
-    hint.exact().or_else(|| content_length(response.headers()))
-}
-
-fn content_length(map: &HeaderMap) -> Option<u64> {
-    map.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -208,8 +208,7 @@
 
     /// Returns the capacity that goes out with each response, as far as the deployment uses it.
     pub fn capacity(&self) -> GateCapacity {
-        let link_backlog = self.parts.link.backlog(Instant::now());
-        GateCapacity { link_backlog, ..GateCapacity::default() }
+        self.parts.link.capacity(Instant::now())
     }
 
     async fn run(&self, request: &mut GateRequest) -> Result<Response<CallBody>, Refusal> {
--- a/crates/yuccarackd/src/coordination/routed/gate/server.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/server.rs
@@ -5,7 +5,7 @@
 use http::{HeaderValue, Request, Response, header, request::Parts};
 use tokio_util::sync::CancellationToken;
 
-use super::{Gate, GateRequest};
+use super::{Gate, GateRequest, link::SentResponse};
 use crate::{
     coordination::routed::peers::Peers,
     protocol::{
@@ -43,9 +43,14 @@
         let read = SendableBody::read(&parts, body, BUFFERED_BODY_MAX_BYTES).await;
         let body = read.map_err(|_| Refusal::not_run(Reason::CallerBodyCut))?;
         let request = GateRequest::new(now, hop, parts, body);
-        let soft_deadline = request.soft_deadline;
+        let link = &self.gate.parts.link;
+        let share = link.reserve(&request).inspect_err(|refusal| {
+            self.gate.log_refusal(&request, refusal);
+        })?;
+        let (route_hash, soft_deadline) = (request.hop.route_hash, request.soft_deadline);
+        let sent = SentResponse { route_hash, soft_deadline, share };
         let response = self.gate.handle(request).await?;
-        Ok(self.gate.parts.link.pace(soft_deadline, response))
+        Ok(link.send(response, sent))
     }
 }
 
--- a/crates/yuccarackd/src/daemon/routed/assembly.rs
+++ b/crates/yuccarackd/src/daemon/routed/assembly.rs
@@ -103,7 +103,8 @@
             });
             let help = "Time that the link needs for what is to be sent.";
             self.metrics.register_gauge("link_backlog_milliseconds", help, move || {
-                let backlog = backlog.backlog(std::time::Instant::now()).unwrap_or_default();
+                let capacity = backlog.capacity(std::time::Instant::now());
+                let backlog = capacity.link_backlog.unwrap_or_default();
                 i64::try_from(backlog.as_millis()).unwrap_or(i64::MAX)
             });
             self.tasks.background.spawn(link.clone().run(self.stops.background.clone()));
--- a/crates/yuccarackd/src/protocol/gate_capacity.rs
+++ b/crates/yuccarackd/src/protocol/gate_capacity.rs
@@ -11,6 +11,8 @@
 pub struct GateCapacity {
     /// Time that the link needs for the response bytes that wait at the gate.
     pub link_backlog: Option<Duration>,
+    /// Rate of the link.
+    pub link_kbit_per_s: Option<u32>,
     /// Share of the target's latest calls to other services that were served in time, in percent.
     pub calls_served_percent: Option<u8>,
 }
@@ -27,6 +29,9 @@
         if let Some(backlog) = self.link_backlog {
             write!(f, "link_ms={};", backlog.as_millis())?;
         }
+        if let Some(kbit_per_s) = self.link_kbit_per_s {
+            write!(f, "link_kbit={kbit_per_s};")?;
+        }
         if let Some(percent) = self.calls_served_percent {
             write!(f, "calls={percent};")?;
         }
@@ -43,6 +48,7 @@
         for (name, value) in text.split(';').filter_map(|field| field.split_once('=')) {
             match name {
                 "link_ms" => capacity.link_backlog = Some(Duration::from_millis(value.parse()?)),
+                "link_kbit" => capacity.link_kbit_per_s = Some(value.parse()?),
                 "calls" => capacity.calls_served_percent = Some(value.parse()?),
                 _ => {}
             }
--- a/crates/yuccarackd/src/protocol/mod.rs
+++ b/crates/yuccarackd/src/protocol/mod.rs
@@ -11,6 +11,7 @@
 pub mod packed_changes;
 pub mod peer_update;
 pub mod refusal;
+pub mod response_size;
 pub mod status;
 pub mod streamed_body;
 pub mod suspect_update;
--- a/crates/yuccarackd/src/protocol/refusal.rs
+++ b/crates/yuccarackd/src/protocol/refusal.rs
@@ -109,7 +109,7 @@
 
 impl Reason {
     /// Reasons that a gate may give for a routed request.
-    const SENT_BY_GATES: [Self; 20] = [
+    const SENT_BY_GATES: [Self; 21] = [
         Self::Unauthorized,
         Self::BadRequest,
         Self::NotReady,
@@ -129,6 +129,7 @@
         Self::Admission(QueueRefusalReason::RateLimited.as_str()),
         Self::Admission(QueueRefusalReason::CannotEndInTime.as_str()),
         Self::Admission(QueueRefusalReason::TooLate.as_str()),
+        Self::Admission(QueueRefusalReason::LinkFull.as_str()),
         Self::Admission(QueueRefusalReason::Draining.as_str()),
     ];
 
--- a/crates/yuccarackd/tests/routed/link.rs
+++ b/crates/yuccarackd/tests/routed/link.rs
@@ -117,3 +117,32 @@
     assert!(since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
     assert_eq!(metric(&deployment, "yuccarack_gate_responses_paced_total").await, None);
 }
+
+/// Guards against downloads that run although their response can't be sent in time: the refusal must
+/// be immediate, say that nothing ran, and name the time after which the link has room.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_download_that_cannot_be_sent_in_time_is_refused() {
+    let deployment = deploy_with_slow_link("refused").await;
+    let (board, desk) = (&deployment.instances[0], &deployment.instances[1]);
+    board.target.queue_behaviour(Behaviour::RespondLong(60_000));
+    let usual = send_call(desk.call_address(), &download("usual")).await.expect("a response");
+    assert_eq!(usual.body.len(), 60_000);
+    board.target.queue_behaviour(Behaviour::RespondLong(400_000));
+    let (address, call) = (desk.call_address(), download("long"));
+    let long = tokio::spawn(async move { send_call(address, &call).await });
+    wait_until("a backlog", || async {
+        metric(&deployment, "yuccarack_link_backlog_milliseconds").await > Some(3_000)
+    })
+    .await;
+    let since = Instant::now();
+    let urgent = Call { deadline_ms: 1_000, ..download("urgent") };
+    let refused = send_call(address, &urgent).await.expect("a response");
+    assert!(since.elapsed() < Duration::from_millis(300), "{:?}", since.elapsed());
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.header("yuccarack-reason"), "link_full");
+    let retry_after: f64 = refused.header("retry-after").parse().expect("a time");
+    assert!((2.0..=6.0).contains(&retry_after), "{retry_after} s");
+    assert!(board.target.runs().iter().all(|run| run.id != "urgent"));
+    let long = long.await.expect("a finished task").expect("a response");
+    assert!(long.body == long_page("long", 400_000));
+}
