LINK: the test of callers that leave waits until their responses are paced

Under load a caller left before its request had reached the target, and the next request got its behaviour.

--- a/crates/yuccarackd/tests/routed/link.rs
+++ b/crates/yuccarackd/tests/routed/link.rs
@@ -3,9 +3,8 @@
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
-use tokio::time::timeout;
 use yuccarack_platform_standin::{
-    caller::{Call, KeepAliveConnection, send_call},
+    caller::{Call, send_call},
     deployment::{Deployment, RouteSpec, wait_until},
     target::{Behaviour, long_page},
 };
@@ -87,17 +86,22 @@
 async fn a_caller_that_leaves_frees_its_share() {
     let deployment = deploy_with_slow_link("left").await;
     let (board, desk) = (&deployment.instances[0], &deployment.instances[1]);
-    for number in 0..4 {
-        board.target.queue_behaviour(Behaviour::RespondLong(240_000));
-        let call = download(&format!("gone-{number}"));
-        let mut connection = KeepAliveConnection::open(desk.call_address()).await.expect("opened");
-        assert!(timeout(Duration::from_millis(300), connection.send(&call)).await.is_err());
-    }
+    board.target.set_behaviour(Behaviour::RespondLong(240_000));
+    let callers = (0..4).map(|number| {
+        let (address, call) = (desk.call_address(), download(&format!("gone-{number}")));
+        tokio::spawn(async move { send_call(address, &call).await })
+    });
+    let callers: Vec<_> = callers.collect();
+    wait_until("four paced responses", || async {
+        metric(&deployment, "yuccarack_link_waiting_bytes").await > Some(4 * 200_000)
+    })
+    .await;
+    callers.iter().for_each(|caller| caller.abort());
     wait_until("the shares to be free", || async {
         metric(&deployment, "yuccarack_link_waiting_bytes").await == Some(0)
     })
     .await;
-    board.target.queue_behaviour(Behaviour::RespondLong(50_000));
+    board.target.set_behaviour(Behaviour::RespondLong(50_000));
     let since = Instant::now();
     let response = send_call(desk.call_address(), &download("stays")).await.expect("a response");
     assert!(response.body == long_page("stays", 50_000));
