--- a/crates/yuccarack_policy/tests/placement_links.rs
+++ b/crates/yuccarack_policy/tests/placement_links.rs
@@ -149,6 +149,18 @@
     assert_eq!(choices(&plain), choices(&reported));
 }
 
+/// Guards against short calls that are refused as downloads because they share a route.
+#[test]
+fn a_route_of_mixed_sizes_has_no_usual_long_size() {
+    let mut sizes = ResponseSizes::default();
+    for number in 0..100 {
+        sizes.record(1, DOWNLOAD_BYTES);
+        sizes.record(2, if number % 3 == 0 { DOWNLOAD_BYTES } else { SHORT_BYTES });
+        assert_eq!(sizes.usual_long_bytes(1), Some(DOWNLOAD_BYTES));
+        assert!(number < 5 || sizes.usual_long_bytes(2).is_none());
+    }
+}
+
 /// Guards against a usual size that one exceptional response changes, or that never changes.
 #[test]
 fn usual_sizes_follow_the_responses() {
--- a/crates/yuccarackd/src/coordination/routed/gate/link.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/link.rs
@@ -124,8 +124,7 @@
     pub fn reserve(&self, request: &GateRequest) -> Result<Option<LinkShare>, Refusal> {
         let Some(pacing) = self.active() else { return Ok(None) };
         let mut state = pacing.state.lock();
-        let usual_bytes = state.sizes.usual_bytes(request.hop.route_hash);
-        let Some(bytes) = usual_bytes.filter(|bytes| *bytes > SHORT_MAX_BYTES) else {
+        let Some(bytes) = state.sizes.usual_long_bytes(request.hop.route_hash) else {
             return Ok(None);
         };
         let (deadline, may_wait) = (request.deadline.at(), request.hop.may_wait);
