--- a/crates/yuccarack_policy/src/lib.rs
+++ b/crates/yuccarack_policy/src/lib.rs
@@ -15,7 +15,8 @@
 //!   it sends by [`extra_attempts`], [`adaptive_throttle`] and [`prior_wait`]. The gate queues
 //!   requests in [`work_queue`], which uses [`cold_rate`], [`rate_limit`] and
 //!   [`slowdown`]; it ends their wait by [`return_margin`], tells callers of shed requests when to
-//!   return by [`shed_returns`], paces its responses by [`link_pacing`], checks its target by
+//!   return by [`shed_returns`], paces its responses by [`link_pacing`], whose sizes entries learn by
+//!   [`response_sizes`], checks its target by
 //!   [`health_checks`] and counts crashes in [`crash_counts`]. [`relays`] and
 //!   [`unreachable_members`] limit the control traffic and the list of members.
 //!
@@ -38,6 +39,7 @@
 pub mod prior_wait;
 pub mod rate_limit;
 pub mod relays;
+pub mod response_sizes;
 pub mod retry;
 pub mod return_margin;
 pub mod shed_returns;
