Quotas: leases of an organisation's rate, with fixed shares without them

Cause: callers of an organisation are unevenly distributed over the daemons, and a quota has to hold for all of them together, whatever is partitioned or restarted.

--- a/crates/yuccarack_policy/src/lib.rs
+++ b/crates/yuccarack_policy/src/lib.rs
@@ -12,7 +12,7 @@
 //!   [`exchange_interval`] limit the control traffic.
 //! - Routed calls, where the host and path of the request lead to the service. The entry chooses a
 //!   gate with [`placement`], divides a route over several services by [`split`], and limits what
-//!   it sends by [`extra_attempts`], [`adaptive_throttle`] and [`prior_wait`]. The gate queues
+//!   it sends by [`extra_attempts`], [`adaptive_throttle`], [`prior_wait`] and [`quota`]. The gate queues
 //!   requests in [`work_queue`], which uses [`cold_rate`], [`rate_limit`] and
 //!   [`slowdown`]; it checks its target by
 //!   [`health_checks`] and counts crashes in [`crash_counts`]. [`relays`] and
@@ -34,6 +34,7 @@
 pub mod measuring;
 pub mod placement;
 pub mod prior_wait;
+pub mod quota;
 pub mod rate_limit;
 pub mod relays;
 pub mod retry;
