Quotas in the daemon: reports between gates, admission at the entry, settings, metrics

Change: an entry takes a token after authentication and refuses with 429 and the time until the next one; a request that has not run returns it. A task reports to the keeper's gate, and a keeper to the root, only while an organisation has a quota. Bounds quota_window_ms, quota_excess_percent and quota_slack. Log lines, counters, gauges with at most 100 organisations.

--- a/crates/yuccarack_config/src/routed_settings.rs
+++ b/crates/yuccarack_config/src/routed_settings.rs
@@ -104,6 +104,15 @@
         /// Requests per second that a cold target may get on top of the percentage.
         #[serde(deserialize_with = "rounded_down")]
         pub cold_slack: u32,
+        /// Window in which the requests of an organisation count towards its quota, in ms.
+        #[serde(deserialize_with = "rounded_down")]
+        pub quota_window_ms: u32,
+        /// Requests of an organisation in a window above its quota, in percent of that.
+        #[serde(deserialize_with = "rounded_down")]
+        pub quota_excess_percent: u32,
+        /// Requests of an organisation in a window above its quota, on top of the percentage.
+        #[serde(deserialize_with = "rounded_down")]
+        pub quota_slack: u32,
     }
 }
 
@@ -184,6 +193,9 @@
             extra_tries: 60,
             cold_excess_percent: 100,
             cold_slack: 0,
+            quota_window_ms: 5_000,
+            quota_excess_percent: 10,
+            quota_slack: 20,
         }
     }
 }
--- a/crates/yuccarack_config/src/routed_settings/check.rs
+++ b/crates/yuccarack_config/src/routed_settings/check.rs
@@ -66,6 +66,9 @@
     Field::optional("extra_tries", Kind::rounded(0, 1_000_000)),
     Field::optional("cold_excess_percent", Kind::rounded(0, 100_000)),
     Field::optional("cold_slack", Kind::rounded(0, 1_000_000)),
+    Field::optional("quota_window_ms", Kind::rounded(100, 3_600_000)),
+    Field::optional("quota_excess_percent", Kind::rounded(0, 1_000)),
+    Field::optional("quota_slack", Kind::rounded(0, 1_000_000)),
 ]);
 
 /// Returns all validation errors of `file`; empty if it is valid.
--- a/crates/yuccarack_policy/src/quota/keeper/mod.rs
+++ b/crates/yuccarack_policy/src/quota/keeper/mod.rs
@@ -20,6 +20,10 @@
 /// Most reporters of one keeper; a failure domain of 2,500 daemons in 24 has some 104.
 const REPORTERS_MAX: usize = 1_000;
 
+/// Shortest lease. A root's lease that expires earlier is no longer relied on, since daemons would
+/// lose theirs between two reports.
+const LEASE_MIN: Duration = Duration::from_secs(1);
+
 /// Error of sums of grants.
 const ROUNDING: f64 = 1e-6;
 
@@ -117,7 +121,7 @@
     }
 
     /// Returns the number of reporters that hold a lease.
-    pub fn reporters(&self, now: Instant) -> usize {
+    pub fn lease_holders(&self, now: Instant) -> usize {
         self.members.values().filter(|member| member.heard_at + LEASE > now).count()
     }
 
@@ -157,6 +161,11 @@
         self.upper.record_failure()
     }
 
+    /// Gives the root up; the next report goes to another once no lease relies on this domain's share.
+    pub fn leave_root(&mut self) {
+        self.upper.leave();
+    }
+
     fn refused(&self) -> QuotaLease {
         QuotaLease {
             session: self.session,
@@ -196,7 +205,7 @@
 
     /// A lease that relies on the root's must not outlast that.
     fn lease_duration(&self, now: Instant) -> Duration {
-        match self.upper.expires_at().filter(|_| self.upper.is_live(now)) {
+        match self.upper.expires_at().filter(|_| self.upper.is_live(now + LEASE_MIN)) {
             Some(expires_at) => LEASE.min(expires_at - now),
             None => LEASE,
         }
@@ -238,7 +247,7 @@
             let Some(limit) = self.limits.get(id) else { continue };
             let pool = pool(&self.upper, now, *id, share);
             account.refill(now, pool, limit);
-            let root_has_spare = !self.upper.is_live(now) || self.upper.has_spare(now, *id);
+            let root_has_spare = !pool.is_leased || self.upper.has_spare(now, *id);
             if !(root_has_spare && account.has_spare(pool, limit)) {
                 listed.push(*id);
             }
@@ -252,7 +261,7 @@
         let share = self.counted_share(now);
         self.accounts.iter().all(|(id, account)| {
             let base = base_without_holding(account, &self.members, self.daemons);
-            account.reserved() + base <= self.upper.fraction(now, *id, share) + ROUNDING
+            account.reserved() + base <= pool(&self.upper, now, *id, share).part + ROUNDING
         })
     }
 
@@ -276,5 +285,6 @@
 }
 
 fn pool(upper: &LeaseHolder, now: Instant, id: OrganisationId, share: f64) -> Pool {
-    Pool { part: upper.fraction(now, id, share), is_leased: upper.is_live(now) }
+    let until = now + LEASE_MIN;
+    Pool { part: upper.fraction_until(now, until, id, share), is_leased: upper.is_live(until) }
 }
--- a/crates/yuccarack_policy/src/quota/lease_holder.rs
+++ b/crates/yuccarack_policy/src/quota/lease_holder.rs
@@ -37,11 +37,22 @@
 impl LeaseHolder {
     /// Returns the part of an organisation's rate that may be used, where `share` is the fixed share.
     pub fn fraction(&self, now: Instant, id: OrganisationId, share: f64) -> f64 {
+        self.fraction_until(now, now, id, share)
+    }
+
+    /// Returns the part that may be used until `until`, or later if the lease is not valid by then.
+    pub fn fraction_until(
+        &self,
+        now: Instant,
+        until: Instant,
+        id: OrganisationId,
+        share: f64,
+    ) -> f64 {
         if self.lease == 0 {
             return share;
         }
         let granted = self.grants.get(&id).copied().unwrap_or(BASE_SHARE * share);
-        if self.is_live(now) {
+        if self.is_live(until) {
             return granted;
         }
         let is_committed = self.committed_until.is_some_and(|until| until > now);
@@ -124,4 +135,9 @@
         }
         self.is_keeper_lost
     }
+
+    /// Gives the keeper up. Its lease stays valid until it expires.
+    pub fn leave(&mut self) {
+        self.is_keeper_lost = true;
+    }
 }
--- a/crates/yuccarack_policy/src/quota/ledger.rs
+++ b/crates/yuccarack_policy/src/quota/ledger.rs
@@ -142,12 +142,15 @@
         }
     }
 
-    /// Returns the grant in requests per second of each organisation.
-    pub fn rates(&self, now: Instant) -> impl Iterator<Item = (OrganisationId, f64)> {
-        let share = self.share();
-        self.accounts.iter().map(move |(id, account)| {
-            (*id, account.limit.rate_per_s * self.holder.fraction(now, *id, share))
-        })
+    /// Returns whether an organisation has a quota.
+    pub fn has_limit(&self, id: OrganisationId) -> bool {
+        self.accounts.contains_key(&id)
+    }
+
+    /// Returns the grant of an organisation in requests per second; `None` without a quota.
+    pub fn rate_per_s(&self, now: Instant, id: OrganisationId) -> Option<f64> {
+        let account = self.accounts.get(&id)?;
+        Some(account.limit.rate_per_s * self.holder.fraction(now, id, self.share()))
     }
 
     /// Returns whether the ledger holds a live lease.
@@ -193,6 +196,11 @@
         self.holder.record_failure()
     }
 
+    /// Gives the keeper up; the next report goes to another once no lease relies on this daemon's share.
+    pub fn leave_keeper(&mut self) {
+        self.holder.leave();
+    }
+
     fn share(&self) -> f64 {
         1.0 / f64::from(self.daemons)
     }
--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -37,7 +37,7 @@
     route_stats::RouteStats,
     service::{MembershipUpdate, RoutedService},
 };
-use super::{deadline::CallDeadline, events::EventLog, gate::Gate, peers::Peers};
+use super::{deadline::CallDeadline, events::EventLog, gate::Gate, peers::Peers, quota::Quotas};
 use crate::{
     coordination::entry::outcome_tracker::OutcomeTracker,
     protocol::{
@@ -87,6 +87,8 @@
     pub gate: Arc<Gate>,
     /// Peer exchange, which is told the routing table versions that gates report.
     pub peers: Peers,
+    /// Quotas of organisations.
+    pub quotas: Quotas,
     /// Connection pool for requests to other gates.
     pub upstream: Upstream,
     /// Counters of calls, refusals and attempts.
@@ -173,11 +175,28 @@
         trace.route.clone_from(&route.name);
         let organisation = authenticate(&routing, route, &parts.headers)?;
         check_body_size(&routing, &parts)?;
-        let route_hash = hash_route(route);
+        let charged = organisation.as_ref().map(|organisation| organisation.hop.id);
+        charged.map_or(Ok(()), |id| self.parts.quotas.admit(id))?;
+        let routed = RouteOfCall { routing: &routing, route, organisation };
+        let result = self.process_admitted(routed, head, (parts, body), trace).await;
+        // A request that has not run doesn't count towards the quota.
+        if result.as_ref().is_err_and(Refusal::is_not_run) {
+            charged.into_iter().for_each(|id| self.parts.quotas.refund(id));
+        }
+        result
+    }
+
+    async fn process_admitted(
+        &self,
+        routed: RouteOfCall<'_>,
+        head: RoutedHead,
+        (parts, body): (Parts, CallBody),
+        trace: &mut CallTrace,
+    ) -> Result<Response<CallBody>, Refusal> {
+        let route_hash = hash_route(routed.route);
         if !self.stats.admits(route_hash) {
             return Err(Refusal::not_run(Reason::DependencyShortage));
         }
-        let routed = RouteOfCall { routing: &routing, route, organisation };
         let call = self.build_call(routed, head, parts, body, trace.received_at).await?;
         trace.service.clone_from(&call.service);
         let result = self.run(call, &trace.gates).await;
--- a/crates/yuccarackd/src/coordination/routed/events.rs
+++ b/crates/yuccarackd/src/coordination/routed/events.rs
@@ -29,9 +29,11 @@
     RoutingNotFetched,
     /// A relay is connected or lost; a lost relay is queried again after 1 to 4 s.
     Relay,
+    /// An organisation begins or ceases to be refused over quota, or another keeper grants quotas.
+    Quota,
 }
 
-const EVENT_KINDS: [EventKind; 9] = [
+const EVENT_KINDS: [EventKind; 10] = [
     EventKind::CallSucceeded,
     EventKind::CallFailed,
     EventKind::AttemptEnded,
@@ -41,6 +43,7 @@
     EventKind::MemberChanged,
     EventKind::RoutingNotFetched,
     EventKind::Relay,
+    EventKind::Quota,
 ];
 
 impl EventKind {
@@ -55,6 +58,7 @@
             Self::MemberChanged => "member_changed",
             Self::RoutingNotFetched => "routing_not_read",
             Self::Relay => "relay",
+            Self::Quota => "quota",
         }
     }
 
@@ -70,7 +74,8 @@
             | Self::TargetLimit
             | Self::MemberChanged
             | Self::RoutingNotFetched
-            | Self::Relay => 5.0,
+            | Self::Relay
+            | Self::Quota => 5.0,
         }
     }
 }
--- a/crates/yuccarackd/src/coordination/routed/gate/server.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/server.rs
@@ -1,4 +1,4 @@
-//! Serves other daemons: routed requests, crash reports and queries for updates.
+//! Serves other daemons: routed requests, crash reports, quota reports and queries for updates.
 
 use std::{sync::Arc, time::Instant};
 
@@ -7,11 +7,12 @@
 
 use super::{Gate, GateRequest};
 use crate::{
-    coordination::routed::peers::Peers,
+    coordination::routed::{peers::Peers, quota::Quotas},
     protocol::{
         body::{CallBody, SendableBody},
         hop::{HOP, Hop},
         peer_update::{CRASH_SUSPECTS, UpdateRequest},
+        quota,
         refusal::{Reason, Refusal},
     },
     transport::call_server::{Arrival, CallHandler},
@@ -24,15 +25,16 @@
 pub struct GateServer {
     gate: Arc<Gate>,
     peers: Peers,
+    quotas: Quotas,
     /// Cancelled when connections close.
     closing: CancellationToken,
 }
 
 impl GateServer {
-    /// Creates a server that passes requests to `gate` and responds to queries from `peers`. Its
-    /// responses announce the close of their connections once `closing` is cancelled.
-    pub fn new(gate: Arc<Gate>, peers: Peers, closing: CancellationToken) -> Self {
-        Self { gate, peers, closing }
+    /// Creates a server that passes requests to `gate`, responds to queries from `peers` and grants
+    /// `quotas`. Its responses announce the close of their connections once `closing` is cancelled.
+    pub fn new(gate: Arc<Gate>, peers: Peers, quotas: Quotas, closing: CancellationToken) -> Self {
+        Self { gate, peers, quotas, closing }
     }
 
     async fn forward(&self, parts: Parts, body: CallBody) -> Result<Response<CallBody>, Refusal> {
@@ -59,6 +61,9 @@
             self.gate.parts.crashes.receive_report(report);
             return Response::new(crate::protocol::body::empty());
         }
+        if quota::is_report(request.headers()) {
+            return self.quotas.respond(request.into_body()).await;
+        }
         let (parts, body) = request.into_parts();
         let response = self.forward(parts, body).await;
         let mut response = response.unwrap_or_else(Refusal::into_routed_response);
--- a/crates/yuccarackd/src/coordination/routed/log_lines/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/log_lines/mod.rs
@@ -79,13 +79,14 @@
 mod calls;
 mod cluster_state;
 mod process;
+mod quota;
 mod targets;
 
-pub use self::{calls::*, cluster_state::*, process::*, targets::*};
+pub use self::{calls::*, cluster_state::*, process::*, quota::*, targets::*};
 
 /// Returns the schemas of all lines that a daemon for routed calls writes.
 pub fn all() -> impl Iterator<Item = &'static LineSchema> {
-    [calls::SCHEMAS, targets::SCHEMAS, cluster_state::SCHEMAS, process::SCHEMAS]
+    [calls::SCHEMAS, targets::SCHEMAS, cluster_state::SCHEMAS, process::SCHEMAS, quota::SCHEMAS]
         .into_iter()
         .flatten()
 }
--- a/crates/yuccarackd/src/coordination/routed/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/mod.rs
@@ -9,6 +9,7 @@
 pub mod log_lines;
 pub mod metrics_server;
 pub mod peers;
+pub mod quota;
 pub mod relay_follower;
 pub mod relay_stream;
 pub mod routing_packer;
--- a/crates/yuccarackd/src/daemon/routed/assembly.rs
+++ b/crates/yuccarackd/src/daemon/routed/assembly.rs
@@ -16,6 +16,7 @@
         gate::{CrashTracker, CrashTrackerParts, Gate, GateParts, GateServer},
         metrics_server::MetricsServer,
         peers::{Peers, PeersParts},
+        quota::{QuotaGauge, Quotas, QuotasParts},
         relay_follower::RelayFollower,
         row_publisher::RowPublisher,
         store_client::{RESPONSE_TIMEOUT, StoreClient},
@@ -47,6 +48,17 @@
 /// all instances have written their rows.
 const FIRST_ROWS_DELAY: Duration = Duration::from_millis(2_500);
 
+/// Gauges of each organisation with a quota.
+const QUOTA_GAUGES: [(&str, &str, QuotaGauge); 3] = [
+    (
+        "quota_grant_per_1000_seconds",
+        "Requests in 1,000 seconds that this daemon may admit.",
+        QuotaGauge::Grant,
+    ),
+    ("quota_admitted", "Requests admitted by quota.", QuotaGauge::Admitted),
+    ("quota_refused", "Requests refused over quota.", QuotaGauge::Refused),
+];
+
 /// Dependencies that the components share while they are built.
 pub(super) struct RoutedAssembly {
     pub(super) settings: LiveSettings,
@@ -258,9 +270,33 @@
         }
     }
 
+    /// Starts the exchange of quotas with other daemons.
+    fn start_quotas(&self) -> Quotas {
+        let quotas = Quotas::new(QuotasParts {
+            settings: self.settings.clone(),
+            routing: self.routing.clone(),
+            members: self.members.clone(),
+            upstream: self.upstream.clone(),
+            counters: self.counters.clone(),
+            events: self.events.clone(),
+        });
+        self.tasks.background.spawn(quotas.clone().run(self.stops.background.clone()));
+        for (name, help, gauge) in QUOTA_GAUGES {
+            let read = quotas.clone();
+            let read = move || read.gauge(gauge);
+            self.metrics.register_labelled_gauge(name, help, "organisation", read);
+        }
+        let holders = quotas.clone();
+        let help = "Daemons, and keepers, that hold quotas granted by this daemon.";
+        let read = move || holders.lease_holders();
+        self.metrics.register_labelled_gauge("quota_lease_holders", help, "level", read);
+        quotas
+    }
+
     pub(super) fn serve(&self, listeners: Listeners, gate: &Arc<Gate>, peers: Peers) {
         let (tasks, stops) = (&self.tasks, &self.stops);
-        let entry = Arc::new(self.new_entry(Arc::clone(gate), peers.clone()));
+        let quotas = self.start_quotas();
+        let entry = Arc::new(self.new_entry(Arc::clone(gate), peers.clone(), quotas.clone()));
         self.spawn_until_stop(Arc::clone(&entry).probe_unreachable_gates(stops.background.clone()));
         let (gauge_entry, members) = (Arc::clone(&entry), self.members.clone());
         let help = "Gates that this entry can't reach now.";
@@ -285,7 +321,8 @@
         let calls = self.server(listeners.calls, "entry");
         // A server is joined with its connections, as it accepts some until it has closed its port.
         tasks.calls.spawn(calls.run(entry, tasks.calls.clone(), stops.calls.clone()));
-        let gate_server = Arc::new(GateServer::new(Arc::clone(gate), peers, stops.gate.clone()));
+        let gate_server =
+            Arc::new(GateServer::new(Arc::clone(gate), peers, quotas, stops.gate.clone()));
         let gates = self.server(listeners.gate, "gate");
         tasks.gate.spawn(gates.run(gate_server, tasks.gate.clone(), stops.gate.clone()));
         let control = Arc::new(ControlServer {
@@ -309,7 +346,7 @@
         }
     }
 
-    fn new_entry(&self, gate: Arc<Gate>, peers: Peers) -> RoutedEntry {
+    fn new_entry(&self, gate: Arc<Gate>, peers: Peers, quotas: Quotas) -> RoutedEntry {
         RoutedEntry::new(RoutedEntryParts {
             settings: self.settings.clone(),
             routing: self.routing.clone(),
@@ -317,6 +354,7 @@
             evacuations: self.evacuations.clone(),
             gate,
             peers,
+            quotas,
             upstream: self.upstream.clone(),
             counters: self.counters.clone(),
             metrics: self.metrics.clone(),
--- a/crates/yuccarackd/src/protocol/mod.rs
+++ b/crates/yuccarackd/src/protocol/mod.rs
@@ -10,6 +10,7 @@
 pub mod hop;
 pub mod packed_changes;
 pub mod peer_update;
+pub mod quota;
 pub mod refusal;
 pub mod status;
 pub mod streamed_body;
--- a/crates/yuccarackd/src/state/routed/members.rs
+++ b/crates/yuccarackd/src/state/routed/members.rs
@@ -92,6 +92,11 @@
         self.inner.is_loaded.send_replace(true);
     }
 
+    /// Returns whether the full table has been read once.
+    pub fn is_loaded(&self) -> bool {
+        *self.inner.is_loaded.borrow()
+    }
+
     /// Waits until the full table has been read once.
     pub async fn wait_loaded(&self) {
         // The sender lives as long as `self`, so this can't fail.
--- a/crates/yuccarackd/src/state/routed/metrics.rs
+++ b/crates/yuccarackd/src/state/routed/metrics.rs
@@ -10,6 +10,7 @@
         text::{encode_eof, encode_registry},
     },
     metrics::{
+        MetricType,
         counter::ConstCounter,
         family::Family,
         gauge::ConstGauge,
@@ -52,6 +53,7 @@
     first_byte: Histogram,
     attempts: Histogram,
     gauges: Arc<Mutex<Vec<ReadGauge>>>,
+    labelled: Arc<Mutex<Vec<LabelledGauge>>>,
     readings: Arc<Mutex<Registry>>,
     histograms: Arc<Mutex<Registry>>,
 }
@@ -63,6 +65,14 @@
     read: Box<dyn Fn() -> i64 + Send + Sync>,
 }
 
+/// A gauge with one label, whose values are read on each scrape.
+struct LabelledGauge {
+    name: &'static str,
+    help: &'static str,
+    label: &'static str,
+    read: Box<dyn Fn() -> Vec<(String, i64)> + Send + Sync>,
+}
+
 /// Error while encoding the metrics.
 #[derive(Debug, Error)]
 #[error("encoding the metrics failed: {0}")]
@@ -87,7 +97,9 @@
         registry.register("tries", "Gates that a call was offered to.", attempts.clone());
         let gauges: Arc<Mutex<Vec<ReadGauge>>> = Arc::default();
         let mut readings = Registry::with_prefix(PREFIX);
-        let collector = Readings { counters, gauges: Arc::clone(&gauges) };
+        let labelled: Arc<Mutex<Vec<LabelledGauge>>> = Arc::default();
+        let (gauges_read, labelled_read) = (Arc::clone(&gauges), Arc::clone(&labelled));
+        let collector = Readings { counters, gauges: gauges_read, labelled: labelled_read };
         readings.register_collector(Box::new(collector));
         Self {
             calls,
@@ -96,6 +108,7 @@
             first_byte,
             attempts,
             gauges,
+            labelled,
             readings: Arc::new(Mutex::new(readings)),
             histograms: Arc::new(Mutex::new(registry)),
         }
@@ -111,6 +124,18 @@
         self.gauges.lock().push(ReadGauge { name, help, read: Box::new(read) });
     }
 
+    /// Registers a gauge with the values of `read` by the label's value at each scrape. It is left out
+    /// without values.
+    pub fn register_labelled_gauge(
+        &self,
+        name: &'static str,
+        help: &'static str,
+        label: &'static str,
+        read: impl Fn() -> Vec<(String, i64)> + Send + Sync + 'static,
+    ) {
+        self.labelled.lock().push(LabelledGauge { name, help, label, read: Box::new(read) });
+    }
+
     /// Records the outcome and the duration of a call.
     pub fn observe_call(&self, end: &'static str, duration: Duration) {
         self.calls.get_or_create(&CallLabels { end }).observe(duration.as_secs_f64());
@@ -158,6 +183,7 @@
 struct Readings {
     counters: Counters,
     gauges: Arc<Mutex<Vec<ReadGauge>>>,
+    labelled: Arc<Mutex<Vec<LabelledGauge>>>,
 }
 
 impl std::fmt::Debug for Readings {
@@ -174,6 +200,18 @@
                 encoder.encode_descriptor(gauge.name, gauge.help, None, value.metric_type())?;
             value.encode(metric)?;
         }
+        for gauge in self.labelled.lock().iter() {
+            let values = (gauge.read)();
+            if values.is_empty() {
+                continue;
+            }
+            let mut family =
+                encoder.encode_descriptor(gauge.name, gauge.help, None, MetricType::Gauge)?;
+            for (value_of_label, value) in values {
+                let labels = [(gauge.label, value_of_label)];
+                ConstGauge::new(value).encode(family.encode_family(&labels)?)?;
+            }
+        }
         for (name, count) in self.counters.snapshot() {
             let counter = ConstCounter::new(count);
             let name = name.replace('.', "_");
