--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -193,7 +193,7 @@
         (parts, body): (Parts, CallBody),
         trace: &mut CallTrace,
     ) -> Result<Response<CallBody>, Refusal> {
-        let route_hash = hash_route(routed.route);
+        let (routing, route_hash) = (routed.routing, hash_route(routed.route));
         if !self.stats.admits(route_hash) {
             return Err(Refusal::not_run(Reason::DependencyShortage));
         }
@@ -202,7 +202,7 @@
         let result = self.run(call, &trace.gates).await;
         self.record_result(route_hash, &trace.service, &result);
         if let Ok(response) = &result {
-            self.stats.record_response_size(&routing, route_hash, response);
+            self.stats.record_response_size(routing, route_hash, response);
         }
         result
     }
