--- a/crates/yuccarack_policy/src/quota/keeper/account.rs
+++ b/crates/yuccarack_policy/src/quota/keeper/account.rs
@@ -26,13 +26,13 @@
 
 /// Part of all tokens that a keeper with a lease may be in debt without consequence. Its pool is tiny
 /// for an idle organisation, and the root has tokens for the first requests.
-const DEBT_IGNORED: f64 = 0.25;
+const DEBT_IGNORED: f64 = 0.5;
 
 /// Part of the base grant below which demand is neglected.
-const IDLE_PART: f64 = 0.05;
+const IDLE_PART: f64 = 0.2;
 
 /// Part of the bucket below which no reporter may overdraw its own.
-const SPARE_LEVEL: f64 = 0.25;
+const SPARE_LEVEL: f64 = 0.15;
 
 /// Part of an organisation's quota that a keeper distributes.
 #[derive(Clone, Copy)]
--- a/crates/yuccarack_policy/src/quota/ledger.rs
+++ b/crates/yuccarack_policy/src/quota/ledger.rs
@@ -16,8 +16,11 @@
     messages::{QuotaLease, QuotaReport, QuotaUse},
 };
 
-/// Time of its granted rate by which a daemon may overdraw its bucket between two reports, on top of
-/// one request.
+/// Requests by which a daemon may overdraw its bucket between two reports. With one, a second caller
+/// of an idle organisation within the some ms of a report was refused.
+const OVERDRAFT_MIN: f64 = 2.0;
+
+/// Time of its granted rate by which it may do so on top.
 const OVERDRAFT_S: f64 = 1.0;
 
 /// Age of a lease up to which its bucket may be overdrawn. Reports are sent each half second.
@@ -119,7 +122,7 @@
         account.is_dry = true;
         // Over quota, further reports would change nothing.
         self.is_early |= self.holder.has_spare(now, id);
-        let overdraft_max = 1.0 + rate_per_s * OVERDRAFT_S;
+        let overdraft_max = OVERDRAFT_MIN + rate_per_s * OVERDRAFT_S;
         if may_overdraw && account.overdraft + 1.0 <= overdraft_max {
             account.overdraft += 1.0;
             account.admitted += 1;
--- a/crates/yuccarack_policy/src/quota/messages.rs
+++ b/crates/yuccarack_policy/src/quota/messages.rs
@@ -23,15 +23,20 @@
     }
 
     /// Use of a quota since the last report.
+    ///
+    /// Field names are short, since a report may have hundreds of organisations.
     pub struct QuotaUse {
         /// The organisation.
+        #[serde(rename = "i")]
         pub id: OrganisationId,
         /// Requests that arrived.
+        #[serde(rename = "n")]
         pub arrived: u32,
         /// Requests that were admitted and not refunded.
+        #[serde(rename = "a")]
         pub admitted: u32,
         /// Whether the reporter ran out of tokens.
-        #[serde(default)]
+        #[serde(rename = "d", default, skip_serializing_if = "is_false")]
         pub is_dry: bool,
     }
 
@@ -54,8 +59,14 @@
     /// Part of an organisation's quota.
     pub struct QuotaGrant {
         /// The organisation.
+        #[serde(rename = "i")]
         pub id: OrganisationId,
         /// Parts in a billion of its rate and burst.
+        #[serde(rename = "g")]
         pub per_billion: u32,
     }
 }
+
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
--- a/crates/yuccarack_policy/tests/quota/fleet.rs
+++ b/crates/yuccarack_policy/tests/quota/fleet.rs
@@ -1,7 +1,7 @@
 //! Ledgers and keepers of a fleet on a virtual clock, without network.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -82,7 +82,10 @@
     keepers: Vec<Vec<usize>>,
     roots: Vec<usize>,
     rng: SmallRng,
-    admitted: Vec<Instant>,
+    /// Times of admitted requests in the last window.
+    admitted: VecDeque<Instant>,
+    admitted_by_s: BTreeMap<u64, usize>,
+    started_at: Instant,
     counted: Vec<(Instant, u32)>,
     next_session: u64,
     /// Position of a fractional number of arrivals.
@@ -115,7 +118,9 @@
             keepers,
             roots,
             rng: SmallRng::seed_from_u64(11),
-            admitted: Vec::new(),
+            admitted: VecDeque::new(),
+            admitted_by_s: BTreeMap::new(),
+            started_at: now,
             counted: Vec::new(),
             next_session: 1,
             arrivals_due: 0.0,
@@ -225,9 +230,14 @@
             _ => daemon.ledger.admit(now, ORGANISATION).is_ok(),
         };
         let window_start = now - TOLERANCE.window;
-        let in_window = self.admitted.iter().rev().take_while(|at| **at > window_start).count();
+        while self.admitted.front().is_some_and(|at| *at <= window_start) {
+            self.admitted.pop_front();
+        }
+        let in_window = self.admitted.len();
         if is_admitted {
-            self.admitted.push(now);
+            self.admitted.push_back(now);
+            let second = (now - self.started_at).as_secs();
+            *self.admitted_by_s.entry(second).or_default() += 1;
             self.outcome.most_in_window = self.outcome.most_in_window.max(in_window + 1);
             return;
         }
@@ -332,13 +342,8 @@
     }
 
     /// Counts of admitted requests by second since the start, for messages of failed tests.
-    pub fn admitted_by_s(&self) -> BTreeMap<u64, usize> {
-        let mut counts = BTreeMap::new();
-        let Some(first) = self.admitted.first() else { return counts };
-        for at in &self.admitted {
-            *counts.entry((*at - *first).as_secs()).or_default() += 1;
-        }
-        counts
+    pub fn admitted_by_s(&self) -> &BTreeMap<u64, usize> {
+        &self.admitted_by_s
     }
 }
 
--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod path;
 mod pipelining;
+mod quotas;
 mod recovery;
 mod relays;
 mod rolls;
