--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -13,6 +13,7 @@
 mod link;
 mod path;
 mod pipelining;
+mod quotas;
 mod recovery;
 mod refused_in_time;
 mod relays;
