Quotas: leases are confirmed by organisation

Cause: a keeper confirmed the root's lease only while no organisation's grants exceeded its pool. Change: a report lists the organisations whose grants still exceed the lease; the others are confirmed.

--- a/crates/yuccarack_policy/src/quota/keeper/account.rs
+++ b/crates/yuccarack_policy/src/quota/keeper/account.rs
@@ -116,8 +116,9 @@
         self.bucket.refill(now, pool.part * limit.rate_per_s, pool.part * limit.tokens_max);
     }
 
-    /// Records what a reporter used since its last report.
-    pub fn record(&mut self, reporter: &Reporter<'_>, used: Option<&QuotaUse>) {
+    /// Records what a reporter used since its last report; `is_exceeded` is whether it may still use
+    /// more than the lease that it confirms.
+    pub fn record(&mut self, reporter: &Reporter<'_>, used: Option<&QuotaUse>, is_exceeded: bool) {
         let (arrived, admitted) = used.map_or((0, 0), |used| (used.arrived, used.admitted));
         self.bucket.level -= f64::from(admitted);
         self.arrived = self.arrived.saturating_add(arrived);
@@ -131,7 +132,8 @@
         let measured = f64::from(arrived) / interval_s;
         holding.demand_per_s = holding.demand_per_s * kept + measured * (1.0 - kept);
         holding.is_dry = used.is_some_and(|used| used.is_dry);
-        if holding.lease > 0 && holding.lease == reporter.confirmed_lease {
+        let is_confirmed = holding.lease > 0 && holding.lease == reporter.confirmed_lease;
+        if is_confirmed && !is_exceeded {
             holding.unconfirmed = 0.0;
         }
     }
--- a/crates/yuccarack_policy/src/quota/keeper/mod.rs
+++ b/crates/yuccarack_policy/src/quota/keeper/mod.rs
@@ -105,7 +105,7 @@
             confirmed_lease: confirmed,
             expires_at: now + lasts,
         };
-        let grants = self.grants(now, &reporter, &used);
+        let grants = self.grants(now, &reporter, &used, &report.exceeded);
         QuotaLease {
             session: self.session,
             lease: number,
@@ -134,8 +134,8 @@
     pub fn take_report(&mut self, now: Instant) -> QuotaReport {
         self.expire(now);
         let (session, lease, interval) = self.upper.begin_report(now);
-        // The root may give away the rest of a smaller lease only once no daemon uses it.
-        let lease = if self.is_within_pools(now) { lease } else { 0 };
+        // The root may give away the rest of a smaller grant only once no daemon uses it.
+        let exceeded = self.exceeded(now);
         self.is_early = false;
         let daemons = self.counted(now);
         let uses = self.accounts.iter_mut().filter_map(|(id, account)| account.take_use(*id));
@@ -144,6 +144,7 @@
             reporter: self.instance.clone(),
             session,
             lease,
+            exceeded,
             daemons,
             interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             uses: uses.collect(),
@@ -216,6 +217,7 @@
         now: Instant,
         reporter: &Reporter<'_>,
         used: &HashMap<OrganisationId, &QuotaUse>,
+        exceeded: &[OrganisationId],
     ) -> Vec<QuotaGrant> {
         let share = self.counted_share(now);
         let holds = |account: &&KeptAccount| account.holds(reporter.instance);
@@ -227,7 +229,8 @@
             let pool = pool(&self.upper, now, id, share);
             let Some(account) = self.accounts.get_mut(&id) else { continue };
             account.refill(now, pool, limit);
-            account.record(reporter, used.get(&id).copied());
+            let is_exceeded = exceeded.contains(&id);
+            account.record(reporter, used.get(&id).copied(), is_exceeded);
             let base_of_others = base_without_holding(account, &self.members, self.daemons);
             let granted = account.grant(reporter, pool, base_of_others, limit);
             self.is_early |= account.is_dry() && self.upper.has_spare(now, id);
@@ -255,14 +258,15 @@
         listed
     }
 
-    /// Returns whether all reporters together hold no more than the pools, so that a smaller lease of
-    /// the root may be confirmed.
-    fn is_within_pools(&self, now: Instant) -> bool {
+    /// Returns the organisations of which all reporters together hold more than the pool, so that a
+    /// smaller grant of the root isn't in effect yet.
+    fn exceeded(&self, now: Instant) -> Vec<OrganisationId> {
         let share = self.counted_share(now);
-        self.accounts.iter().all(|(id, account)| {
+        let is_exceeded = |(id, account): &(&OrganisationId, &KeptAccount)| {
             let base = base_without_holding(account, &self.members, self.daemons);
-            account.reserved() + base <= pool(&self.upper, now, *id, share).part + ROUNDING
-        })
+            account.reserved() + base > pool(&self.upper, now, **id, share).part + ROUNDING
+        };
+        self.accounts.iter().filter(is_exceeded).map(|(id, _)| *id).collect()
     }
 
     fn expire(&mut self, now: Instant) {
--- a/crates/yuccarack_policy/src/quota/ledger.rs
+++ b/crates/yuccarack_policy/src/quota/ledger.rs
@@ -176,6 +176,7 @@
             reporter: self.instance.clone(),
             session,
             lease,
+            exceeded: Vec::new(),
             daemons: 1,
             interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             uses: uses.collect(),
--- a/crates/yuccarack_policy/src/quota/messages.rs
+++ b/crates/yuccarack_policy/src/quota/messages.rs
@@ -11,9 +11,11 @@
         pub reporter: InstanceId,
         /// Session of the keeper whose lease the reporter holds; 0 without one.
         pub session: u64,
-        /// Number of the last lease that the reporter received in the session; 0 without one, or while
-        /// it may still use more than that lease grants.
+        /// Number of the last lease that the reporter received in the session; 0 without one.
         pub lease: u64,
+        /// Organisations of which the reporter may still use more than that lease grants.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub exceeded: Vec<OrganisationId>,
         /// Daemons that the reporter represents.
         pub daemons: u32,
         /// Time since the reporter's last report, in ms.
--- a/crates/yuccarackd/src/coordination/routed/quota/reporter.rs
+++ b/crates/yuccarackd/src/coordination/routed/quota/reporter.rs
@@ -199,6 +199,7 @@
             reporter: self.quotas.inner.instance.clone(),
             session: u64::MAX,
             lease: 0,
+            exceeded: Vec::new(),
             daemons: 0,
             interval_ms: 0,
             uses: Vec::new(),
