Quotas: a window's burst counts as rate, grants outlive their keeper, keepers stay

After a loss of all power each root changed when a member that came back was first in the order; its domains waited 4.5 s with their fixed shares, and 1,132 of 1,647 requests of two seconds were refused. Change: buckets fill by (rate x window + burst) / window. A daemon keeps the keeper that granted its lease while that responds; when it is lost, the next one is asked at once, and the last grants are used for 1.5 s more.

--- a/crates/yuccarack_policy/src/quota/lease_holder.rs
+++ b/crates/yuccarack_policy/src/quota/lease_holder.rs
@@ -7,9 +7,7 @@
 
 use yuccarack_config::organisations::OrganisationId;
 
-use super::{
-    BASE_SHARE, COMMITTED_FOR, EARLY_REPORT_INTERVAL, REPORT_INTERVAL, messages::QuotaLease,
-};
+use super::{BASE_SHARE, EARLY_REPORT_INTERVAL, KEPT_FOR, REPORT_INTERVAL, messages::QuotaLease};
 
 /// Failed reports in a row after which the keeper counts as lost.
 const FAILURES_MAX: u32 = 2;
@@ -23,8 +21,11 @@
     session: u64,
     lease: u64,
     expires_at: Option<Instant>,
-    /// Until when leases of others may rely on this holder's share.
-    committed_until: Option<Instant>,
+    /// Until when the grants of an expired lease or of a lost keeper are used.
+    ///
+    /// With its fixed share alone a daemon would refuse most requests of unevenly distributed callers
+    /// until the next keeper knows the demand.
+    kept_until: Option<Instant>,
     reported_at: Option<Instant>,
     /// Whether the next report is due at once.
     is_due: bool,
@@ -48,15 +49,11 @@
         id: OrganisationId,
         share: f64,
     ) -> f64 {
-        if self.lease == 0 {
+        let is_kept = self.kept_until.is_some_and(|until| until > now);
+        if !self.is_live(until) && !is_kept {
             return share;
         }
-        let granted = self.grants.get(&id).copied().unwrap_or(BASE_SHARE * share);
-        if self.is_live(until) {
-            return granted;
-        }
-        let is_committed = self.committed_until.is_some_and(|until| until > now);
-        if is_committed { granted.min(share) } else { share }
+        self.grants.get(&id).copied().unwrap_or(BASE_SHARE * share)
     }
 
     pub fn is_live(&self, now: Instant) -> bool {
@@ -81,21 +78,14 @@
     pub fn report_due_at(&self, now: Instant, is_early: bool) -> Instant {
         let interval = if is_early { EARLY_REPORT_INTERVAL } else { REPORT_INTERVAL };
         let waits_from = self.reported_at.filter(|_| !self.is_due);
-        let due_at = waits_from.map_or(now, |reported_at| reported_at + interval);
-        match self.committed_until.filter(|_| self.is_keeper_lost) {
-            Some(until) => due_at.max(until),
-            None => due_at,
-        }
+        waits_from.map_or(now, |reported_at| reported_at + interval)
     }
 
     /// Notes that a report is sent; returns the session and number of the held lease, and the time
     /// since the last report.
     pub fn begin_report(&mut self, now: Instant) -> (u64, u64, Duration) {
         if std::mem::take(&mut self.is_keeper_lost) {
-            *self = Self { reported_at: self.reported_at, ..Self::default() };
-        }
-        if self.lease > 0 {
-            self.committed_until = Some(now + COMMITTED_FOR);
+            (self.session, self.lease, self.failures) = (0, 0, 0);
         }
         let interval = self
             .reported_at
@@ -117,7 +107,8 @@
         // A holder is counted only once it has confirmed a lease, so it confirms the first one at once.
         self.is_due = self.lease == 0;
         (self.session, self.lease, self.failures) = (lease.session, lease.lease, 0);
-        self.expires_at = Some(sent_at + Duration::from_millis(lease.lasts_ms.into()));
+        let expires_at = sent_at + Duration::from_millis(lease.lasts_ms.into());
+        (self.expires_at, self.kept_until) = (Some(expires_at), Some(expires_at + KEPT_FOR));
         let grants = lease.grants.iter();
         self.grants =
             grants.map(|grant| (grant.id, f64::from(grant.per_billion) / BILLION)).collect();
--- a/crates/yuccarack_policy/src/quota/limit.rs
+++ b/crates/yuccarack_policy/src/quota/limit.rs
@@ -4,7 +4,7 @@
 
 use yuccarack_config::organisations::Organisation;
 
-/// Part of the tolerance that buckets may hold on top of the burst.
+/// Part of the tolerance that buckets may hold.
 const BUCKET_TOLERANCE_SHARE: f64 = 0.4;
 
 /// Part of the tolerance for requests that are admitted before the keeper learns of a surge.
@@ -24,10 +24,10 @@
 /// Quota of one organisation.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaLimit {
-    /// Requests per second of all daemons together.
+    /// Requests per second of all daemons together by which the quota of a window, which includes a
+    /// burst, is used evenly. With the rate alone, steady requests that the quota allows in each window
+    /// would be refused.
     pub rate_per_s: f64,
-    /// Requests that are accepted at once after a time without any.
-    pub burst: f64,
     /// Tokens that all buckets together may hold.
     pub tokens_max: f64,
     /// Requests that may be admitted before a keeper learns that nothing is left.
@@ -43,12 +43,15 @@
         })
     }
 
-    /// Creates a quota of `rate_per_s` and `burst`.
+    /// Creates a quota of `rate_per_s` and `burst`, of which each window allows the sum.
     pub fn from_rate(rate_per_s: f64, burst: f64, tolerance: QuotaTolerance) -> Self {
         let in_window = rate_per_s * tolerance.window.as_secs_f64() + burst;
         let tolerated =
             in_window * f64::from(tolerance.excess_percent) / 100.0 + f64::from(tolerance.slack);
-        let tokens_max = burst + BUCKET_TOLERANCE_SHARE * tolerated;
-        Self { rate_per_s, burst, tokens_max, overdraft_max: OVERDRAFT_TOLERANCE_SHARE * tolerated }
+        Self {
+            rate_per_s: in_window / tolerance.window.as_secs_f64().max(0.001),
+            tokens_max: BUCKET_TOLERANCE_SHARE * tolerated,
+            overdraft_max: OVERDRAFT_TOLERANCE_SHARE * tolerated,
+        }
     }
 }
--- a/crates/yuccarack_policy/src/quota/mod.rs
+++ b/crates/yuccarack_policy/src/quota/mod.rs
@@ -7,14 +7,14 @@
 //! counts.
 //!
 //! A grant is a fraction of the organisation's rate, so a lower limit takes effect at once wherever
-//! it is known. All grants and fixed shares add up to at most 1:
+//! it is known. All grants and fixed shares add up to at most 1, but for the time in which a keeper
+//! changes:
 //!
 //! - A daemon contributes its fixed share to one keeper at a time. Only a daemon that has confirmed a
 //!   lease is counted, for [`COUNTED_FOR`] after its report.
 //! - A keeper reserves what it granted until the lease expires or its holder confirms a smaller one.
-//! - A daemon that loses its keeper uses no more than both its last grant and its fixed share for
-//!   [`COMMITTED_FOR`]. After that no lease that relies on its contribution is left, and it reports to
-//!   the next keeper.
+//! - A daemon that loses its keeper reports to the next and uses its last grants until that one grants
+//!   a lease, at most for [`KEPT_FOR`], and then its fixed share.
 
 mod bucket;
 mod keeper;
@@ -48,10 +48,9 @@
 /// is tolerated.
 pub const COUNTED_FOR: Duration = Duration::from_millis(1_000);
 
-/// Time after a report until which leases may rely on the share of its sender: the daemon's keeper and
-/// the root count it for [`COUNTED_FOR`] each, the root's lease is valid for [`LEASE`], and reports
-/// are on their way for up to half a second.
-pub const COMMITTED_FOR: Duration = Duration::from_millis(4_500);
+/// Time after the end of a lease for which its grants are used without a keeper. What the next keeper
+/// grants meanwhile is within the tolerance of a quota.
+pub const KEPT_FOR: Duration = Duration::from_millis(1_500);
 
 /// Part of its fixed share that a daemon is granted without demand.
 const BASE_SHARE: f64 = 0.1;
--- a/crates/yuccarackd/src/coordination/routed/quota/reporter.rs
+++ b/crates/yuccarackd/src/coordination/routed/quota/reporter.rs
@@ -77,7 +77,7 @@
     pub async fn run(mut self) {
         loop {
             self.wait_until_due().await;
-            match self.keeper_at(self.rank) {
+            match self.keeper() {
                 Some((keeper, address)) => self.report(keeper, address).await,
                 None => tokio::time::sleep(NO_KEEPER_PAUSE).await,
             }
@@ -117,6 +117,20 @@
         }
     }
 
+    /// Returns the daemon to report to, and its gate address.
+    ///
+    /// The one that granted the last lease stays the keeper while it responds: a member that joins may
+    /// come first in the order, and each change of the keeper costs its knowledge of the demand.
+    fn keeper(&self) -> Option<(InstanceId, SocketAddr)> {
+        let granted_by = self.granted_by.as_ref().and_then(|instance| self.address_of(instance));
+        granted_by.or_else(|| self.keeper_at(self.rank))
+    }
+
+    fn address_of(&self, instance: &InstanceId) -> Option<(InstanceId, SocketAddr)> {
+        let (_, member) = self.quotas.inner.parts.members.row(instance);
+        member.map(|member| (instance.clone(), member.gate_address))
+    }
+
     /// Returns the daemon at a place in the order of keepers, and its gate address.
     fn keeper_at(&self, rank: usize) -> Option<(InstanceId, SocketAddr)> {
         let inner = &self.quotas.inner;
@@ -128,8 +142,7 @@
             };
             order.get(rank % order.len().max(1)).cloned()?
         };
-        let (_, member) = inner.parts.members.row(&instance);
-        member.map(|member| (instance, member.gate_address))
+        self.address_of(&instance)
     }
 
     async fn report(&mut self, keeper: InstanceId, address: SocketAddr) {
@@ -210,7 +223,7 @@
                 Level::Ledger => inner.ledger.lock().leave_keeper(),
                 Level::Keeper => inner.keeper.lock().leave_root(),
             }
-            self.rank = 0;
+            (self.rank, self.granted_by) = (0, None);
         }
     }
 
