Work queue: fair shares of organisations under shortage

Cause: a gate's queue ordered requests by route rank and soft deadline alone, so an organisation at nine times its usual rate displaced the others. Change: the queue orders by starvation, surge, rank and weighted max-min share of the organisation.

--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -19,9 +19,14 @@
 //! A target that announces a rate limit gets no more than that. A request beyond the limit waits
 //! only if its turn comes in time for its soft deadline; all others are rejected at once, with the
 //! time of their turn.
+//!
+//! Requests of organisations are also ordered by the rank and the fair share of their organisation,
+//! see `fair_share`. The order decides on rejections too, since a request is rejected by what is
+//! ahead of it, so an organisation over its share is rejected first.
 
 mod decision;
 mod estimates;
+mod fair_share;
 mod rate_limited;
 mod request;
 mod service_times;
@@ -37,6 +42,7 @@
     request::{OrganisationShare, WorkOutcome, WorkRequest},
 };
 use self::{
+    fair_share::FairShares,
     service_times::ServiceTimeEstimates,
     waiting::{PriorityKey, WaitingRequest, priority_key},
 };
@@ -100,6 +106,7 @@
     slowdown: SlowdownEstimate,
     cold_rate: ColdRate,
     rate_limit: RateLimit,
+    fair_shares: FairShares,
     finished_waits: Vec<WaitResult>,
     is_draining: bool,
     decisions: FeatureSwitches,
@@ -116,6 +123,7 @@
             slowdown: SlowdownEstimate::new(),
             cold_rate: ColdRate::default(),
             rate_limit: RateLimit::new(),
+            fair_shares: FairShares::new(),
             finished_waits: Vec::new(),
             is_draining: false,
             decisions: FeatureSwitches::default(),
@@ -215,8 +223,10 @@
         if has_room && may_pass_on && self.slowdown.at(now) >= PASS_ON_SLOWDOWN {
             return self.refused(now, QueueRefusalReason::Slow);
         }
+        let service_time = self.service_time(now, request.kind);
         if has_room {
-            return QueueDecision::Run(self.start(now, request.kind));
+            self.fair_shares.record_demand(now, request.organisation, service_time);
+            return QueueDecision::Run(self.start(now, &request, service_time));
         }
         if !request.may_wait {
             let reason = match (has_slot, is_limited) {
@@ -226,10 +236,12 @@
             };
             return self.refused(now, reason);
         }
+        self.fair_shares.record_demand(now, request.organisation, service_time);
         if let Err(reason) = self.check_wait(now, &request) {
+            self.fair_shares.record_refusal(request.organisation);
             return self.refused(now, reason);
         }
-        let key = self.waiting.insert(WaitingRequest { request });
+        let key = self.waiting.insert(WaitingRequest { request, service_time });
         // Requests that it overtakes may have no turn in time any more.
         self.refuse_rate_limited(now);
         QueueDecision::Wait(key)
@@ -266,6 +278,7 @@
 
     /// Updates the queue and returns the waits that have ended; each is returned once.
     pub fn poll(&mut self, now: Instant) -> Vec<WaitResult> {
+        self.fair_shares.update(now);
         self.refuse_unservable(now);
         self.refuse_rate_limited(now);
         self.start_waiting(now);
@@ -322,11 +335,12 @@
         self.is_draining = false;
     }
 
-    fn start(&mut self, now: Instant, kind: u64) -> RunningKey {
+    fn start(&mut self, now: Instant, request: &WorkRequest, service_time: Duration) -> RunningKey {
+        self.fair_shares.record_run(request.organisation, service_time);
         self.cold_rate.record_dispatch(now);
         self.rate_limit.record_dispatch(now);
         self.running.insert(RunningRequest {
-            kind,
+            kind: request.kind,
             started_at: now,
             slowdown: self.slowdown.at(now),
         })
@@ -335,8 +349,9 @@
     /// Checks whether a request that has to wait can still be answered in time to be of use.
     fn check_wait(&self, now: Instant, request: &WorkRequest) -> Result<(), QueueRefusalReason> {
         let upper_time = self.upper_service_time(now, request.kind);
-        let arrived = priority_key(request, self.is_expedited(now, request.kind), now, upper_time);
-        let ahead = self.waiting.values().filter(|other| self.priority_of(other, now) <= arrived);
+        let arrived = self.priority_of(request, now);
+        let others = self.waiting.values();
+        let ahead = others.filter(|other| self.priority_of(&other.request, now) <= arrived);
         let ahead = ahead.count();
         if !self.has_turn_in_time(now, request, ahead) {
             return Err(QueueRefusalReason::RateLimited);
@@ -382,20 +397,21 @@
         {
             let Some(key) = self.next_waiting(now) else { return };
             let Some(waiting) = self.waiting.remove(key) else { return };
-            let run = self.start(now, waiting.request.kind);
+            let run = self.start(now, &waiting.request, waiting.service_time);
             self.finished_waits.push(WaitResult::Run(key, run));
         }
     }
 
     fn next_waiting(&self, now: Instant) -> Option<WaitingKey> {
-        let order = |(_, waiting): &(WaitingKey, &WaitingRequest)| self.priority_of(waiting, now);
+        let order =
+            |(_, waiting): &(WaitingKey, &WaitingRequest)| self.priority_of(&waiting.request, now);
         self.waiting.iter().min_by_key(order).map(|(key, _)| key)
     }
 
-    fn priority_of(&self, waiting: &WaitingRequest, now: Instant) -> PriorityKey {
-        let request = &waiting.request;
+    fn priority_of(&self, request: &WorkRequest, now: Instant) -> PriorityKey {
         let upper_time = self.upper_service_time(now, request.kind);
-        priority_key(request, self.is_expedited(now, request.kind), now, upper_time)
+        let standing = self.fair_shares.standing(request.organisation);
+        priority_key(request, standing, self.is_expedited(now, request.kind), now, upper_time)
     }
 
     /// Rejects the waiting requests that can't be served in time.
@@ -413,11 +429,17 @@
         let unservable: Vec<(WaitingKey, QueueRefusalReason)> = unservable.collect();
         for (key, reason) in unservable {
             let refusal = self.refusal(now, reason);
-            self.waiting.remove(key);
+            self.remove_refused(key);
             self.finished_waits.push(WaitResult::Refused(key, refusal));
         }
     }
 
+    fn remove_refused(&mut self, key: WaitingKey) {
+        if let Some(waiting) = self.waiting.remove(key) {
+            self.fair_shares.record_refusal(waiting.request.organisation);
+        }
+    }
+
     /// Returns why a waiting request can't be served in time, if so.
     fn refusal_reason(&self, now: Instant, waiting: &WaitingRequest) -> Option<QueueRefusalReason> {
         let done_at = now + self.service_time(now, waiting.request.kind);
--- a/crates/yuccarack_policy/src/work_queue/rate_limited.rs
+++ b/crates/yuccarack_policy/src/work_queue/rate_limited.rs
@@ -4,7 +4,7 @@
 
 use super::{
     QueueRefusalReason, RETRY_AFTER_MAX, WaitResult, WaitingKey, WorkQueue, WorkRequest,
-    waiting::PriorityKey,
+    waiting::{PriorityKey, WaitingRequest},
 };
 
 impl WorkQueue {
@@ -54,7 +54,9 @@
         if self.rate_limit.rate().is_none() || self.waiting.is_empty() {
             return;
         }
-        let priority = |(key, waiting)| (self.priority_of(waiting, now), key);
+        let priority = |(key, waiting): (WaitingKey, &WaitingRequest)| {
+            (self.priority_of(&waiting.request, now), key)
+        };
         let mut order: Vec<(PriorityKey, WaitingKey)> = self.waiting.iter().map(priority).collect();
         order.sort_unstable_by_key(|(priority, _)| *priority);
         let mut ahead = 0;
@@ -64,7 +66,7 @@
                 ahead += 1;
                 continue;
             }
-            self.waiting.remove(key);
+            self.remove_refused(key);
             let refusal = self.refusal(now, QueueRefusalReason::RateLimited);
             self.finished_waits.push(WaitResult::Refused(key, refusal));
         }
