Fair shares: slack of two requests until an organisation is surging

Cause: at a gate with few requests, two or three of one organisation at once counted as a surge. Change: slack of two requests; the tests judge each organisation with at least 100 requests, also with three ranks.

--- a/crates/yuccarack_policy/src/work_queue/fair_share.rs
+++ b/crates/yuccarack_policy/src/work_queue/fair_share.rs
@@ -45,6 +45,13 @@
 /// twice its rate.
 const SURGE_FACTOR: f64 = 2.0;
 
+/// Number of requests beyond that from which an organisation is surging. At a gate with ten requests a
+/// second, two or three of one organisation often arrive at once.
+const SURGE_SLACK_REQUESTS: f64 = 2.0;
+
+/// Weight of a request in the mean service time.
+const MEAN_WEIGHT: f64 = 0.05;
+
 /// Factor beyond the common rise up to which the demand of an organisation counts in it. Three
 /// surging organisations that usually send half of the demand then are no common rise.
 const RISE_FACTOR: f64 = 1.5;
@@ -150,6 +157,8 @@
 pub struct FairShares {
     by_id: HashMap<OrganisationId, OrganisationLoad>,
     updated_at: Option<Instant>,
+    /// Mean service time of a request, in seconds.
+    mean_s: f64,
     highest_rank: u8,
 }
 
@@ -167,12 +176,14 @@
     ) {
         let Some(organisation) = organisation else { return };
         self.update(now);
+        let service_s = service_time.as_secs_f64();
+        self.mean_s += MEAN_WEIGHT * (service_s - self.mean_s);
         let load = self.load_mut(organisation);
         load.rank = organisation.rank;
-        load.demanded_s += service_time.as_secs_f64();
+        load.demanded_s += service_s;
         // A surge must not raise the weight of its organisation.
         let usual_part = (load.surge_limit_s / load.demanded_s).min(1.0);
-        load.usual_s += usual_part * service_time.as_secs_f64();
+        load.usual_s += usual_part * service_s;
     }
 
     /// Records the start of a request that needs `service_time`.
@@ -235,11 +246,12 @@
         let smallest_weight = self.smallest_weight();
         let level = self.water_level(smallest_weight);
         let surge_level = SURGE_FACTOR * self.common_rise();
+        let surge_slack_s = SURGE_SLACK_REQUESTS * self.mean_s;
         for load in self.by_id.values_mut() {
             load.is_starved = load.served_share(by_rank[&load.rank]) < STARVED_PART * overall;
             let weight = load.usual_s.max(smallest_weight);
             load.share_use = load.use_of(level * weight);
-            load.surge_limit_s = surge_level * weight;
+            load.surge_limit_s = surge_level * weight + surge_slack_s;
             load.is_surging = load.demanded_s > load.surge_limit_s;
         }
     }
--- a/crates/yuccarack_policy/tests/fair_shares.rs
+++ b/crates/yuccarack_policy/tests/fair_shares.rs
@@ -100,16 +100,22 @@
     let unshared = loss_of_others(0, &surge_counts(0, |_| None));
     assert!(unshared > LOSS_MAX, "the load shows nothing: a loss of {unshared}");
     for surging in [0, 1, 2, 4] {
-        let counts = surge_counts(surging, share(0));
-        let loss = loss_of_others(surging, &counts);
-        assert!(loss < LOSS_MAX, "surge of {surging}: the others lost {loss}");
-        for (index, (requests, alone, with_surge)) in counts.iter().enumerate() {
-            if index == surging || *requests < REQUESTS_MIN {
-                continue;
-            }
-            let loss = (alone - with_surge) / requests;
-            assert!(loss < LOSS_MAX, "surge of {surging}: organisation {index} lost {loss}");
-        }
+        assert_small_losses(surging, &surge_counts(surging, share(0)));
+    }
+}
+
+/// Asserts that the organisations at their usual rate lose little, together and each that has enough
+/// requests to tell.
+fn assert_small_losses(surging: usize, counts: &[(f64, f64, f64)]) {
+    let loss = loss_of_others(surging, counts);
+    assert!(loss < LOSS_MAX, "surge of {surging}: the others lost {loss}");
+    for (index, (requests, alone, with_surge)) in counts.iter().enumerate() {
+        let loss = (alone - with_surge) / requests;
+        let is_judged = index != surging && *requests >= REQUESTS_MIN;
+        assert!(
+            !is_judged || loss < LOSS_MAX,
+            "surge of {surging}: organisation {index} lost {loss}"
+        );
     }
 }
 
@@ -119,9 +125,7 @@
 fn a_surge_of_the_highest_rank_costs_the_others_nothing() {
     for surging in [0, 1, 2, 4] {
         let rank = |index: usize| if index == surging { 0 } else { (index % 3) as u8 };
-        let loss =
-            loss_of_others(surging, &surge_counts(surging, |index| share(rank(index))(index)));
-        assert!(loss < LOSS_MAX, "surge of {surging}: the others lost {loss}");
+        assert_small_losses(surging, &surge_counts(surging, |index| share(rank(index))(index)));
     }
 }
 
