--- a/crates/yuccarack_policy/tests/fair_shares.rs
+++ b/crates/yuccarack_policy/tests/fair_shares.rs
@@ -3,12 +3,16 @@
 #[path = "support/gate_replay.rs"]
 mod gate_replay;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::Xxh3Default;
-use yuccarack_policy::work_queue::OrganisationShare;
+use yuccarack_policy::work_queue::{
+    OrganisationShare, QueueDecision, WaitResult, WorkOutcome, WorkQueue, WorkRequest,
+};
 
-use self::gate_replay::{Arrival, End, USED_SLOTS, arrivals, replay, zipf_parts};
+use self::gate_replay::{
+    Arrival, DEADLINE, End, SLOTS, SOFT_DEADLINE, USED_SLOTS, arrivals, replay, zipf_parts,
+};
 
 const ORGANISATIONS: usize = 72;
 const USUAL_LOAD: f64 = 0.7;
@@ -220,6 +224,42 @@
     assert!(share > 1.0 - LOSS_MAX, "{share} of its requests are on time");
 }
 
+/// Guards against calls of targets, which have no organisation, that go before or after the requests
+/// of all organisations. They count as being of the highest rank that is present.
+#[test]
+fn a_request_without_organisation_has_the_highest_rank_present() {
+    let now = Instant::now();
+    let mut queue = WorkQueue::new(SLOTS);
+    let request = |organisation, rank| WorkRequest {
+        kind: 1,
+        rank,
+        organisation,
+        soft_deadline: now + SOFT_DEADLINE,
+        deadline: now + DEADLINE,
+        may_wait: true,
+    };
+    let mut running = Vec::new();
+    while let QueueDecision::Run(key) = queue.offer(now, request(share(1)(1), 0)) {
+        running.push(key);
+    }
+    let offered = [(share(2)(2), 0), (None, 1), (share(1)(1), 2)];
+    let waiting =
+        offered.map(|(organisation, rank)| match queue.offer(now, request(organisation, rank)) {
+            QueueDecision::Wait(key) => key,
+            other => panic!("not queued: {other:?}"),
+        });
+    let mut started = Vec::new();
+    for key in running.into_iter().take(4) {
+        queue.release(now, key, WorkOutcome::Aborted);
+        for result in queue.poll(now) {
+            let WaitResult::Run(key, _) = result else { panic!("refused") };
+            started.push(key);
+        }
+    }
+    // The first one is the request that found all slots in use.
+    assert_eq!(started[1..], [waiting[1], waiting[2], waiting[0]]);
+}
+
 /// Returns an overload with requests of three kinds and route ranks, the last kind short.
 fn mixed_arrivals() -> Vec<Arrival> {
     let until = Duration::from_secs(10);
