--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod limits;
 mod link;
+mod organisations;
 mod path;
 mod pipelining;
 mod quotas;
