--- a/crates/yuccarackd/src/coordination/routed/control_server.rs
+++ b/crates/yuccarackd/src/coordination/routed/control_server.rs
@@ -63,11 +63,19 @@
         let status = match control::decode(&parts.method, parts.uri.path()) {
             Some(ControlCall::Readiness) => self.readiness(),
             Some(ControlCall::Heartbeat(target)) => match read_body(body).await {
-                Some(body) => self.heartbeat(target, &body),
+                Some(body) => {
+                    let status = self.heartbeat(target, &body);
+                    wait_for_dispatched_requests().await;
+                    status
+                }
                 None => StatusCode::BAD_REQUEST,
             },
             Some(ControlCall::Leave(target)) => match read_body(body).await {
-                Some(body) => self.leave(target, &body),
+                Some(body) => {
+                    let status = self.leave(target, &body);
+                    wait_for_dispatched_requests().await;
+                    status
+                }
                 None => StatusCode::BAD_REQUEST,
             },
             None => StatusCode::NOT_FOUND,
@@ -158,6 +166,15 @@
     Ok(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
 
+/// Lets the connections write the requests that the gate has handed to them.
+///
+/// The gate checks the target's state just before that, on the same thread. Otherwise the target
+/// could have its announcement confirmed and then receive such a request, late by as long as this
+/// process waits for a processor.
+async fn wait_for_dispatched_requests() {
+    tokio::task::yield_now().await;
+}
+
 async fn read_body(body: CallBody) -> Option<Bytes> {
     let limited = http_body_util::Limited::new(body, BODY_MAX_BYTES);
     let read = timeout(BODY_TIMEOUT, limited.collect()).await;
--- a/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
@@ -80,7 +80,12 @@
             true => self.active.idle_drops.freshness(Instant::now()),
             false => Freshness::New,
         };
-        let sent = self.gate.parts.upstream.send(view.address, target_request, freshness).await;
+        let upstream = &self.gate.parts.upstream;
+        let prepared = upstream.prepare(view.address, target_request, freshness).await;
+        let prepared = prepared.map_err(|error| self.record_send_error(&error))?;
+        // The target may have started to drain while the connection was opened.
+        self.gate.check_accepting(self.active)?;
+        let sent = prepared.send().await;
         sent.map_err(|error| self.record_send_error(&error))
     }
 
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -257,6 +257,18 @@
     }
 
     fn check_available(&self, active: &ActiveTarget) -> Result<(), Refusal> {
+        self.check_accepting(active)?;
+        if active.is_unreachable.load(Ordering::Acquire) {
+            // The target is meant here; `NoConnection` is the reason for an unreachable gate.
+            return Err(
+                Refusal::not_run(Reason::Unreachable).with_retry_after(UNAVAILABLE_RETRY_AFTER)
+            );
+        }
+        Ok(())
+    }
+
+    /// Checks that the target's process is the same, doesn't drain and isn't evacuated.
+    fn check_accepting(&self, active: &ActiveTarget) -> Result<(), Refusal> {
         let reject =
             |reason| Err(Refusal::not_run(reason).with_retry_after(UNAVAILABLE_RETRY_AFTER));
         let current = self.parts.target.current();
@@ -269,10 +281,6 @@
         if self.is_evacuated() {
             return reject(Reason::Evacuated);
         }
-        if active.is_unreachable.load(Ordering::Acquire) {
-            // The target is meant here; `NoConnection` is the reason for an unreachable gate.
-            return reject(Reason::Unreachable);
-        }
         Ok(())
     }
 
--- a/crates/yuccarackd/src/transport/upstream.rs
+++ b/crates/yuccarackd/src/transport/upstream.rs
@@ -78,21 +78,27 @@
         request: Request<CallBody>,
         freshness: Freshness,
     ) -> Result<Response<CallBody>, SendError> {
+        self.prepare(address, request, freshness).await?.send().await
+    }
+
+    /// Takes a pooled connection or opens a new one, without sending `request` yet.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::Unreachable`] if no connection can be opened.
+    pub async fn prepare(
+        &self,
+        address: SocketAddr,
+        request: Request<CallBody>,
+        freshness: Freshness,
+    ) -> Result<PreparedRequest, SendError> {
         let body_length = classify_body_length(&request);
         let freshness = if body_length == BodyLength::Long { Freshness::New } else { freshness };
-        let mut connection = match self.take_idle(address, freshness).await {
+        let connection = match self.take_idle(address, freshness).await {
             Some(connection) => connection,
             None => Connection::open(address, body_length, &self.tracker).await?,
         };
-        let sent_fully = Arc::new(AtomicBool::new(false));
-        let (parts, body) = request.into_parts();
-        let tracked = TrackedBody::new(body, Arc::clone(&sent_fully)).boxed_unsync();
-        let response = connection.send(Request::from_parts(parts, tracked)).await?;
-        let is_reusable = body_length == BodyLength::Short;
-        let idle_time_max = keep_alive::idle_time_max(response.headers());
-        let upstream = self.clone();
-        let lease = Lease { address, connection, sent_fully, is_reusable, idle_time_max, upstream };
-        Ok(response.map(|body| LeasedBody::new(body, lease).boxed_unsync()))
+        Ok(PreparedRequest { request, address, connection, body_length, upstream: self.clone() })
     }
 
     /// Closes all idle connections; those in use aren't affected.
@@ -124,6 +130,34 @@
     }
 }
 
+/// Request with an open connection; dropped, it is not sent and the connection is closed.
+pub struct PreparedRequest {
+    request: Request<CallBody>,
+    address: SocketAddr,
+    connection: Connection,
+    body_length: BodyLength,
+    upstream: Upstream,
+}
+
+impl PreparedRequest {
+    /// Sends the request, like [`Upstream::send`].
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`], which says whether anything was sent.
+    pub async fn send(self) -> Result<Response<CallBody>, SendError> {
+        let Self { request, address, mut connection, body_length, upstream } = self;
+        let sent_fully = Arc::new(AtomicBool::new(false));
+        let (parts, body) = request.into_parts();
+        let tracked = TrackedBody::new(body, Arc::clone(&sent_fully)).boxed_unsync();
+        let response = connection.send(Request::from_parts(parts, tracked)).await?;
+        let is_reusable = body_length == BodyLength::Short;
+        let idle_time_max = keep_alive::idle_time_max(response.headers());
+        let lease = Lease { address, connection, sent_fully, is_reusable, idle_time_max, upstream };
+        Ok(response.map(|body| LeasedBody::new(body, lease).boxed_unsync()))
+    }
+}
+
 fn classify_body_length(request: &Request<CallBody>) -> BodyLength {
     let length = request.body().size_hint().upper();
     match length {
--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -4,6 +4,7 @@
 mod at_most_once;
 mod cold;
 mod crashing;
+mod drains;
 mod evacuation;
 mod explained;
 mod homes;
