Stand-in and soak: organisations with keys, ranks and quotas; checks of keys, of the organisation that targets are told and of quotas

Change: the stand-in's document has tenants, routes for anyone and downloads; callers send keys and claim to be an organisation that they aren't; targets record the organisation and every authorization header. Checked: no key reaches a target; targets are told the organisation of the key; a key is refused 2.5 s after the document without it was written, and one that nobody has at once; a 401 says that an order has not run.

--- a/crates/yuccarackd/tests/routed/soak/mod.rs
+++ b/crates/yuccarackd/tests/routed/soak/mod.rs
@@ -7,6 +7,7 @@
 
 mod announcements;
 mod callers;
+mod organisations;
 mod pipelining_callers;
 mod plan;
 mod record;
@@ -51,6 +52,10 @@
 /// 27 ms after its announcement was confirmed.
 const SEED_LATE_ARRIVAL: u64 = 22;
 
+/// Seeds of the walks with organisations in the regular test run; the second one has pipelining
+/// callers as well.
+const SEEDS_WITH_ORGANISATIONS: [u64; 3] = [31, 32, 33];
+
 /// Number of walks that run concurrently.
 const WALKS_AT_ONCE: usize = 3;
 
@@ -110,6 +115,15 @@
     check_plans(SEEDS_LIMITED.into_iter().map(plan).collect()).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn faults_break_no_guarantee_to_organisations() {
+    let plan = |seed| {
+        let plan = Plan::new(seed, INSTANCES).with_organisations();
+        if seed % 2 == 0 { plan.with_pipelining() } else { plan }
+    };
+    check_plans(SEEDS_WITH_ORGANISATIONS.into_iter().map(plan).collect()).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_draining_target_receives_no_late_request_in_a_walk_with_limits() {
     check_plans(vec![Plan::new(SEED_LATE_ARRIVAL, INSTANCES).with_limited_targets()]).await;
@@ -134,6 +148,7 @@
         let plan = if seed.is_multiple_of(3) { plan.with_pipelining() } else { plan };
         let plan = if seed.is_multiple_of(4) { plan.with_cold_targets() } else { plan };
         let plan = if seed % 5 < 2 { plan.with_limited_targets() } else { plan };
+        let plan = if seed % 5 == 2 { plan.with_organisations() } else { plan };
         let record = Walk::run(&plan).await;
         let violations = find_violations(&record);
         println!("seed {seed}: {} faults, {} calls", plan.events.len(), record.calls.len());
--- a/crates/yuccarackd/tests/routed/soak/plan.rs
+++ b/crates/yuccarackd/tests/routed/soak/plan.rs
@@ -6,6 +6,8 @@
 use yuccarack_platform_standin::{instance::Links, store::StoreServerMode, target::Behaviour};
 use yuccarack_standins::proxy::Direction;
 
+use super::organisations::{KEYS, ORGANISATIONS};
+
 /// Instances of a walk without additional load.
 pub const INSTANCES: usize = 4;
 
@@ -51,6 +53,15 @@
 /// replaces it then.
 const LEAVING_MS: std::ops::Range<u64> = 2_500..4_500;
 
+/// Number of keys that are removed in a walk with organisations, and the time for which the walk
+/// goes on after each of them, in ms; much longer than that in which the key has to be refused.
+const REMOVED_KEYS: usize = 3;
+const KEY_REMOVED_MS: u64 = 6_000;
+
+/// The same time after a quota was lowered: longer than that until it is in force and applies to the
+/// whole window in which the requests are counted.
+const QUOTA_LOWERED_MS: u64 = 9_500;
+
 /// Duration of a step, in ms, of a walk in steps.
 const STEP_DURATION_MS: u64 = 800;
 
@@ -89,6 +100,10 @@
     LimitedTarget(usize, u32),
     /// The target announces with its responses that it leaves.
     LeavingTarget(usize),
+    /// Operators remove the key of this index, for good.
+    RemovedKey(usize),
+    /// Operators halve the quota of the organisation of this index.
+    LoweredQuota(usize),
 }
 
 /// A kind of fault of a network link.
@@ -136,6 +151,8 @@
     pub cold_per_s: usize,
     /// Whether each instance has one more caller, which pipelines its requests.
     pub has_pipelining_callers: bool,
+    /// Whether callers need the key of an organisation.
+    pub has_organisations: bool,
     /// Faults, in no particular order.
     pub events: Vec<Event>,
 }
@@ -170,6 +187,7 @@
             targets_max: TARGETS_MAX,
             cold_per_s: 0,
             has_pipelining_callers: false,
+            has_organisations: false,
             events,
         }
     }
@@ -180,6 +198,22 @@
         self
     }
 
+    /// Lets callers use the keys of organisations, and adds keys that are removed and a quota that is
+    /// lowered. The first key is never removed, so that callers can be served.
+    pub fn with_organisations(mut self) -> Self {
+        let mut random = StdRng::seed_from_u64(self.seed.wrapping_mul(41));
+        self.has_organisations = true;
+        for _ in 0..REMOVED_KEYS {
+            let fault = Fault::RemovedKey(random.random_range(1..KEYS.len()));
+            let at_ms = random.random_range(0..FAULT_PERIOD_MS / 2);
+            self.events.push(Event { at_ms, duration_ms: KEY_REMOVED_MS, fault });
+        }
+        let fault = Fault::LoweredQuota(random.random_range(0..ORGANISATIONS.len()));
+        let at_ms = random.random_range(0..1_000);
+        self.events.push(Event { at_ms, duration_ms: QUOTA_LOWERED_MS, fault });
+        self
+    }
+
     /// Adds targets that become cold and a failure domain that is evacuated.
     pub fn with_cold_targets(mut self) -> Self {
         let mut random = StdRng::seed_from_u64(self.seed.wrapping_mul(31));
@@ -381,6 +415,8 @@
             | Self::ColdTarget(_)
             | Self::LimitedTarget(..)
             | Self::EvacuatedDomain(_)
+            | Self::RemovedKey(_)
+            | Self::LoweredQuota(_)
             | Self::NewRoutes => false,
         }
     }
--- a/crates/yuccarackd/tests/routed/soak/record.rs
+++ b/crates/yuccarackd/tests/routed/soak/record.rs
@@ -9,6 +9,7 @@
 
 use super::{
     callers::{CallRecord, RouteVersion},
+    organisations::{Quota, RemovedKey},
     plan::Fault,
     violations::Violation,
 };
@@ -51,6 +52,8 @@
     pub runs: Vec<Run>,
     /// Arrival times of all requests, whether they ran or not.
     pub arrivals: Vec<Instant>,
+    /// Number of `authorization` headers.
+    pub keys: usize,
     /// Rate limits that the targets announced.
     pub rate_limits: Vec<AnnouncedLimit>,
     /// Times for which targets announced with their responses that they leave.
@@ -78,6 +81,10 @@
     pub daemon_starts: Vec<Vec<Instant>>,
     /// Versions of the routing table.
     pub versions: Vec<RouteVersion>,
+    /// Keys that operators removed.
+    pub removed_keys: Vec<RemovedKey>,
+    /// Quotas that operators set, in their order.
+    pub quotas: Vec<Quota>,
     /// Violations detected while the walk ran.
     pub violations: Vec<Violation>,
 }
