--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -11,6 +11,7 @@
 mod large_tables;
 mod leaving;
 mod limits;
+mod organisations;
 mod path;
 mod pipelining;
 mod recovery;
