--- a/crates/yuccarack_policy/src/placement/request.rs
+++ b/crates/yuccarack_policy/src/placement/request.rs
@@ -14,9 +14,6 @@
 /// Size of a response for which the penalty is [`REMOTE_PENALTY`].
 const PENALTY_BYTES: f64 = 5_000.0;
 
-/// Least penalty: a response without a body has a head and crosses domains, too.
-const PENALTY_MIN: Duration = Duration::from_millis(20);
-
 /// Largest penalty, about the longest time that callers wait.
 const PENALTY_MAX: Duration = Duration::from_secs(3);
 
@@ -36,11 +33,12 @@
     }
 
     /// Returns the response time by which a gate in another failure domain must be better than a
-    /// local one. It is proportional to the size of the response, as the traffic is.
+    /// local one. It grows with the size of the response, as the traffic does. For short ones it stays
+    /// the same: with less, gates that are full in one domain overload those of the others.
     pub fn remote_penalty(&self) -> Duration {
         self.response_bytes.map_or(REMOTE_PENALTY, |bytes| {
             let penalty = REMOTE_PENALTY.mul_f64(bytes as f64 / PENALTY_BYTES);
-            penalty.clamp(PENALTY_MIN, PENALTY_MAX)
+            penalty.clamp(REMOTE_PENALTY, PENALTY_MAX)
         })
     }
 }
--- a/crates/yuccarackd/tests/organisation_headers.rs
+++ b/crates/yuccarackd/tests/organisation_headers.rs
@@ -39,9 +39,14 @@
         hop.to_string().parse() == Ok(hop)
     }
 
-    fn capacities_are_read_as_written(backlog_ms: Option<u32>, percent: Option<u8>) -> bool {
+    fn capacities_are_read_as_written(
+        backlog_ms: Option<u32>,
+        link_kbit_per_s: Option<u32>,
+        percent: Option<u8>
+    ) -> bool {
         let link_backlog = backlog_ms.map(|ms| Duration::from_millis(ms.into()));
-        let capacity = GateCapacity { link_backlog, calls_served_percent: percent };
+        let capacity =
+            GateCapacity { link_backlog, link_kbit_per_s, calls_served_percent: percent };
         capacity.to_string().parse() == Ok(capacity)
     }
 }
@@ -98,6 +103,7 @@
 fn fields_of_a_newer_capacity_are_ignored() {
     let expected = GateCapacity {
         link_backlog: Some(Duration::from_millis(40)),
+        link_kbit_per_s: None,
         calls_served_percent: Some(70),
     };
     assert_eq!("new=x;calls=70;other;link_ms=40;".parse(), Ok(expected));
