Quotas: leases carry changes only

Change: a response to a report that confirms the previous lease has the changed grants only, and grants that suffice are left as they are.

--- a/crates/yuccarack_policy/src/quota/keeper/account.rs
+++ b/crates/yuccarack_policy/src/quota/keeper/account.rs
@@ -9,9 +9,13 @@
 
 use crate::quota::{BASE_SHARE, bucket::Bucket, limit::QuotaLimit, messages::QuotaUse};
 
-/// Factor by which a grant exceeds the demand while the pool suffices, since requests come unevenly.
+/// Factor by which a grant of the root exceeds the demand while the pool suffices, since requests come
+/// unevenly.
 const HEADROOM: f64 = 1.6;
 
+/// The same for a keeper with a lease of the root, which has to suffice for its daemons.
+const KEEPER_HEADROOM: f64 = 1.3;
+
 /// Factor between the grants of a reporter that ran dry while the pool suffices.
 const DRY_GROWTH: f64 = 2.0;
 
@@ -28,6 +32,12 @@
 /// for an idle organisation, and the root has tokens for the first requests.
 const DEBT_IGNORED: f64 = 0.5;
 
+/// Part of a grant down to which lower demand leaves it as it is, so that few changes are sent.
+const KEPT_FROM: f64 = 0.4;
+
+/// Part of the pool up to which grants are left as they are.
+const KEPT_PART: f64 = 0.85;
+
 /// Part of the base grant below which demand is neglected.
 const IDLE_PART: f64 = 0.2;
 
@@ -108,6 +118,12 @@
         Self { bucket, holdings, arrived: 0, admitted: 0, is_dry: false }
     }
 
+    /// Returns the grant of a reporter by its last lease; `None` for the base grant.
+    pub fn granted_to(&self, instance: &InstanceId) -> Option<f64> {
+        let holding = self.holdings.get(instance).filter(|holding| holding.lease > 0)?;
+        Some(holding.granted)
+    }
+
     pub fn holds(&self, instance: &InstanceId) -> bool {
         self.holdings.contains_key(instance)
     }
@@ -151,15 +167,22 @@
         let usable = pool.part * self.repayment_factor(pool, limit);
         let rate = limit.rate_per_s.max(1e-6);
         let holding = self.holdings.get_mut(reporter.instance)?;
-        let is_enough = demand * HEADROOM < BY_DEMAND * usable * rate;
+        let headroom = if pool.is_leased { KEEPER_HEADROOM } else { HEADROOM };
+        let is_enough = demand * headroom < BY_DEMAND * usable * rate;
         let by_demand = match is_enough {
-            true => holding.demand_per_s * HEADROOM / rate,
+            true => holding.demand_per_s * headroom / rate,
             false => BY_DEMAND * usable * holding.demand_per_s / demand.max(1e-9),
         };
         let mut wanted = base + by_demand;
         if is_enough && holding.is_dry {
             wanted = wanted.max(holding.granted * DRY_GROWTH);
         }
+        let is_kept = is_enough
+            && reserved < KEPT_PART * usable
+            && (KEPT_FROM * holding.granted..=holding.granted).contains(&wanted);
+        if is_kept {
+            wanted = holding.granted;
+        }
         let others = reserved - holding.reserved() + base_of_others;
         let granted = wanted.min((usable - others).max(0.0));
         self.is_dry |= holding.is_dry || !is_enough;
--- a/crates/yuccarack_policy/src/quota/keeper/mod.rs
+++ b/crates/yuccarack_policy/src/quota/keeper/mod.rs
@@ -55,6 +55,8 @@
     heard_at: Instant,
     /// Whether it has confirmed a lease, after which its share may be distributed.
     is_confirmed: bool,
+    /// Number of the lease that was sent last.
+    sent_lease: u64,
 }
 
 impl QuotaKeeper {
@@ -99,7 +101,9 @@
             return self.refused();
         }
         self.expire(now);
+        let sent = self.members.get(&report.reporter).map(|member| member.sent_lease);
         let (number, confirmed) = self.note_reporter(now, report);
+        let is_change = confirmed > 0 && sent == Some(confirmed);
         let lasts = self.lease_duration(now);
         let used: HashMap<OrganisationId, &QuotaUse> =
             report.uses.iter().map(|used| (used.id, used)).collect();
@@ -111,12 +115,14 @@
             confirmed_lease: confirmed,
             expires_at: now + lasts,
         };
-        let grants = self.grants(now, &reporter, &used);
+        let mut grants = self.grants(now, &reporter, &used);
+        grants.retain(|(_, is_changed)| *is_changed || !is_change);
         QuotaLease {
             session: self.session,
             lease: number,
             lasts_ms: u32::try_from(lasts.as_millis()).unwrap_or(u32::MAX),
-            grants,
+            is_change,
+            grants: grants.into_iter().map(|(grant, _)| grant).collect(),
             without_spare: self.without_spare(now),
         }
     }
@@ -177,6 +183,7 @@
             session: self.session,
             lease: 0,
             lasts_ms: 0,
+            is_change: false,
             grants: Vec::new(),
             without_spare: Vec::new(),
         }
@@ -191,6 +198,7 @@
             daemons: report.daemons,
             heard_at: now,
             is_confirmed: report.session == self.session,
+            sent_lease: number,
         };
         self.members.insert(report.reporter.clone(), member);
         (number, confirmed)
@@ -217,12 +225,13 @@
         }
     }
 
+    /// Returns the grants of a reporter, and whether each differs from that of the previous lease.
     fn grants(
         &mut self,
         now: Instant,
         reporter: &Reporter<'_>,
         used: &HashMap<OrganisationId, &QuotaUse>,
-    ) -> Vec<QuotaGrant> {
+    ) -> Vec<(QuotaGrant, bool)> {
         let share = self.counted_share(now);
         let holds = |account: &&KeptAccount| account.holds(reporter.instance);
         let held = self.accounts.iter().filter(|(_, account)| holds(account)).map(|(id, _)| *id);
@@ -235,13 +244,12 @@
             account.refill(now, pool, limit);
             account.record(reporter, used.get(&id).copied());
             let base_of_others = base_without_holding(account, &self.members, self.daemons);
+            let previous = account.granted_to(reporter.instance);
             let granted = account.grant(reporter, pool, base_of_others, limit);
             self.is_early |= account.is_dry() && self.upper.has_spare(now, id);
-            grants.extend(granted.map(|part| QuotaGrant {
-                id,
-                // Rounded down, so that the sum isn't exceeded.
-                per_billion: (part * BILLION) as u32,
-            }));
+            // Rounded down, so that the sum isn't exceeded.
+            let per_billion = granted.map(|part| (part * BILLION) as u32);
+            grants.push((QuotaGrant { id, per_billion }, previous != granted));
         }
         grants
     }
--- a/crates/yuccarack_policy/src/quota/lease_holder.rs
+++ b/crates/yuccarack_policy/src/quota/lease_holder.rs
@@ -118,9 +118,15 @@
         self.is_due = self.lease == 0;
         (self.session, self.lease, self.failures) = (lease.session, lease.lease, 0);
         self.expires_at = Some(sent_at + Duration::from_millis(lease.lasts_ms.into()));
-        let grants = lease.grants.iter();
-        self.grants =
-            grants.map(|grant| (grant.id, f64::from(grant.per_billion) / BILLION)).collect();
+        if !lease.is_change {
+            self.grants.clear();
+        }
+        for grant in &lease.grants {
+            match grant.per_billion {
+                Some(part) => self.grants.insert(grant.id, f64::from(part) / BILLION),
+                None => self.grants.remove(&grant.id),
+            };
+        }
         self.without_spare = lease.without_spare.iter().copied().collect();
         true
     }
--- a/crates/yuccarack_policy/src/quota/messages.rs
+++ b/crates/yuccarack_policy/src/quota/messages.rs
@@ -49,7 +49,11 @@
         /// Time for which it is valid after the report was sent; 0 if nothing is leased because the
         /// reporter holds a lease of another session.
         pub lasts_ms: u32,
-        /// Grants that differ from the base grant.
+        /// Whether the grants are changes of the lease that the report confirmed; otherwise all others
+        /// are base grants.
+        #[serde(default, skip_serializing_if = "is_false")]
+        pub is_change: bool,
+        /// Grants that differ from the base grant, or have changed.
         pub grants: Vec<QuotaGrant>,
         /// Organisations without spare capacity.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -61,9 +65,9 @@
         /// The organisation.
         #[serde(rename = "i")]
         pub id: OrganisationId,
-        /// Parts in a billion of its rate and burst.
-        #[serde(rename = "g")]
-        pub per_billion: u32,
+        /// Parts in a billion of its rate and burst; the base grant without it.
+        #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+        pub per_billion: Option<u32>,
     }
 }
 
--- a/crates/yuccarack_policy/tests/quota/ledger.rs
+++ b/crates/yuccarack_policy/tests/quota/ledger.rs
@@ -80,12 +80,12 @@
     assert_eq!(ledger.take_report(due_at).session, 0);
 }
 
-/// Measures the reports and leases of a failure domain of 15 of 60 daemons with 72 organisations, whose
+/// Measures the reports and leases of 60 daemons in 4 failure domains with 72 organisations, whose
 /// demand is like that of the first deployment.
 #[test]
 #[ignore = "prints a figure"]
 fn compare_bytes_of_many_organisations() {
-    const DAEMONS: usize = 15;
+    const DAEMONS: usize = 60;
     const TIME_S: u64 = 20;
     let start = Instant::now();
     let weights: Vec<f64> = (1..=72).map(|place| f64::from(place).powf(-1.2)).collect();
@@ -95,8 +95,12 @@
     let id = |place: usize| u64::MAX / 73 * (place as u64 + 1);
     let limits: HashMap<u64, QuotaLimit> =
         weights.iter().enumerate().map(|(place, weight)| (id(place), limit(weight))).collect();
-    let mut keeper = QuotaKeeper::new("keeper".to_owned(), u64::MAX / 3);
-    keeper.set_limits(start, 60, &limits);
+    let new_keeper =
+        |index: u64| QuotaKeeper::new(format!("keeper-{index}"), u64::MAX / (index + 3));
+    let mut keepers: Vec<QuotaKeeper> = (0..4).map(new_keeper).collect();
+    keepers.iter_mut().for_each(|keeper| keeper.set_limits(start, 60, &limits));
+    let mut root = QuotaKeeper::new("root".to_owned(), u64::MAX / 5);
+    root.set_limits(start, 60, &limits);
     let names = (0..DAEMONS).map(|index| format!("sidecar-sapporo-{index}"));
     let mut ledgers: Vec<QuotaLedger> = names.map(QuotaLedger::new).collect();
     ledgers.iter_mut().for_each(|ledger| ledger.set_limits(start, 60, &limits));
@@ -105,19 +109,26 @@
     let (mut bytes, mut reports) = (0, 0);
     for step in 0..TIME_S * 200 {
         let now = start + Duration::from_millis(5 * step);
-        for ledger in &mut ledgers {
+        for (index, ledger) in ledgers.iter_mut().enumerate() {
             if rng.random_bool(839.0 / 60.0 * 0.005) {
                 let _ = ledger.admit(now, id(chosen.sample(&mut rng)));
             }
             if ledger.report_due_at(now).is_some_and(|due_at| due_at <= now) {
                 let report = ledger.take_report(now);
-                let lease = keeper.grant(now, &report);
+                let lease = keepers[index % 4].grant(now, &report);
                 assert!(ledger.apply_lease(now, now, &lease));
                 let encoded = [serde_json::to_vec(&report), serde_json::to_vec(&lease)];
                 bytes += encoded.iter().flatten().map(Vec::len).sum::<usize>();
                 reports += 1;
             }
         }
+        for keeper in &mut keepers {
+            if keeper.report_due_at(now).is_some_and(|due_at| due_at <= now) {
+                let report = keeper.take_report(now);
+                let lease = root.grant(now, &report);
+                assert!(keeper.apply_lease(now, &lease));
+            }
+        }
     }
     let per_daemon_s = |count: usize| count as f64 / DAEMONS as f64 / TIME_S as f64;
     println!("{:.1} reports, {:.0} bytes", per_daemon_s(reports), per_daemon_s(bytes));
