--- a/crates/yuccarack_policy/src/quota/keeper/account.rs
+++ b/crates/yuccarack_policy/src/quota/keeper/account.rs
@@ -63,6 +63,7 @@
     pub instance: &'a InstanceId,
     /// Daemons that it represents, as a part of all.
     pub weight: f64,
+    pub now: Instant,
     pub interval: Duration,
     pub lease: u64,
     pub confirmed_lease: u64,
@@ -84,6 +85,8 @@
 #[derive(Debug)]
 struct Holding {
     demand_per_s: f64,
+    /// Time up to which the demand is measured.
+    measured_at: Instant,
     granted: f64,
     lease: u64,
     /// Largest grant that it may still use if the latest lease did not reach it.
@@ -99,6 +102,7 @@
         let part = if is_confirmed { BASE_SHARE } else { 1.0 };
         Self {
             demand_per_s: 0.0,
+            measured_at: reporter.now.checked_sub(reporter.interval).unwrap_or(reporter.now),
             granted: 0.0,
             lease: 0,
             unconfirmed: part * reporter.weight,
@@ -142,7 +146,9 @@
             .holdings
             .entry(reporter.instance.clone())
             .or_insert_with(|| Holding::new(reporter));
-        let interval_s = reporter.interval.as_secs_f64().max(0.001);
+        let interval = reporter.now.saturating_duration_since(holding.measured_at);
+        let interval_s = interval.as_secs_f64().max(0.001);
+        holding.measured_at = reporter.now;
         let kept = (-interval_s / DEMAND_TIME_S).exp();
         let measured = f64::from(arrived) / interval_s;
         holding.demand_per_s = holding.demand_per_s * kept + measured * (1.0 - kept);
@@ -211,6 +217,16 @@
         self.holdings.values().map(|holding| holding.demand_per_s).sum()
     }
 
+    /// Extends the grant of a reporter whose use is not known, which has confirmed its last lease.
+    pub fn renew(&mut self, reporter: &Reporter<'_>) {
+        if let Some(holding) = self.holdings.get_mut(reporter.instance) {
+            if holding.lease == reporter.confirmed_lease {
+                holding.unconfirmed = 0.0;
+            }
+            (holding.lease, holding.expires_at) = (reporter.lease, reporter.expires_at);
+        }
+    }
+
     /// Returns what reporters with a holding may use.
     pub fn reserved(&self) -> f64 {
         self.holdings.values().map(Holding::reserved).sum()
--- a/crates/yuccarack_policy/src/quota/keeper/mod.rs
+++ b/crates/yuccarack_policy/src/quota/keeper/mod.rs
@@ -11,7 +11,7 @@
 
 use self::account::{KeptAccount, Pool, Reporter};
 use super::{
-    BASE_SHARE, COUNTED_FOR, LEASE,
+    BASE_SHARE, COUNTED_FOR, LEASE, REPORT_INTERVAL,
     lease_holder::{BILLION, LeaseHolder},
     limit::QuotaLimit,
     messages::{QuotaGrant, QuotaLease, QuotaReport, QuotaUse},
@@ -110,12 +110,14 @@
         let reporter = Reporter {
             instance: &report.reporter,
             weight: f64::from(report.daemons) / f64::from(self.daemons),
+            now,
             interval: Duration::from_millis(report.interval_ms.into()),
             lease: number,
             confirmed_lease: confirmed,
             expires_at: now + lasts,
         };
-        let mut grants = self.grants(now, &reporter, &used);
+        let is_early = is_change && reporter.interval < REPORT_INTERVAL / 2;
+        let mut grants = self.grants(now, &reporter, &used, is_early);
         grants.retain(|(_, is_changed)| *is_changed || !is_change);
         QuotaLease {
             session: self.session,
@@ -231,6 +233,7 @@
         now: Instant,
         reporter: &Reporter<'_>,
         used: &HashMap<OrganisationId, &QuotaUse>,
+        is_early: bool,
     ) -> Vec<(QuotaGrant, bool)> {
         let share = self.counted_share(now);
         let holds = |account: &&KeptAccount| account.holds(reporter.instance);
@@ -242,6 +245,11 @@
             let pool = pool(&self.upper, now, id, share);
             let Some(account) = self.accounts.get_mut(&id) else { continue };
             account.refill(now, pool, limit);
+            // Responses to early reports are kept short.
+            if is_early && !used.contains_key(&id) {
+                account.renew(reporter);
+                continue;
+            }
             account.record(reporter, used.get(&id).copied());
             let base_of_others = base_without_holding(account, &self.members, self.daemons);
             let previous = account.granted_to(reporter.instance);
