--- a/crates/yuccarack_policy/src/quota/keeper/mod.rs
+++ b/crates/yuccarack_policy/src/quota/keeper/mod.rs
@@ -11,7 +11,7 @@
 
 use self::account::{KeptAccount, Pool, Reporter};
 use super::{
-    BASE_SHARE, COUNTED_FOR, LEASE,
+    BASE_SHARE, COUNTED_FOR, LEASE, REPORT_INTERVAL,
     lease_holder::{BILLION, LeaseHolder},
     limit::QuotaLimit,
     messages::{QuotaGrant, QuotaLease, QuotaReport, QuotaUse},
@@ -24,6 +24,10 @@
 /// lose theirs between two reports.
 const LEASE_MIN: Duration = Duration::from_secs(1);
 
+/// Time between two searches for expired leases. Each goes over all holdings, and a keeper of 104 daemons
+/// gets more than 200 reports a second.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Error of sums of grants.
 const ROUNDING: f64 = 1e-6;
 
@@ -41,6 +45,7 @@
     next_lease: u64,
     upper: LeaseHolder,
     is_early: bool,
+    expired_at: Option<Instant>,
 }
 
 /// A daemon or keeper that reports.
@@ -50,6 +55,8 @@
     heard_at: Instant,
     /// Whether it has confirmed a lease, after which its share may be distributed.
     is_confirmed: bool,
+    /// Number of the lease that was sent last.
+    sent_lease: u64,
 }
 
 impl QuotaKeeper {
@@ -65,6 +72,7 @@
             next_lease: 1,
             upper: LeaseHolder::default(),
             is_early: false,
+            expired_at: None,
         }
     }
 
@@ -93,24 +101,30 @@
             return self.refused();
         }
         self.expire(now);
+        let sent = self.members.get(&report.reporter).map(|member| member.sent_lease);
         let (number, confirmed) = self.note_reporter(now, report);
+        let is_change = confirmed > 0 && sent == Some(confirmed);
         let lasts = self.lease_duration(now);
         let used: HashMap<OrganisationId, &QuotaUse> =
             report.uses.iter().map(|used| (used.id, used)).collect();
         let reporter = Reporter {
             instance: &report.reporter,
             weight: f64::from(report.daemons) / f64::from(self.daemons),
+            now,
             interval: Duration::from_millis(report.interval_ms.into()),
             lease: number,
             confirmed_lease: confirmed,
             expires_at: now + lasts,
         };
-        let grants = self.grants(now, &reporter, &used, &report.exceeded);
+        let is_early = is_change && reporter.interval < REPORT_INTERVAL / 2;
+        let mut grants = self.grants(now, &reporter, &used, (is_early, &report.exceeded));
+        grants.retain(|(_, is_changed)| *is_changed || !is_change);
         QuotaLease {
             session: self.session,
             lease: number,
             lasts_ms: u32::try_from(lasts.as_millis()).unwrap_or(u32::MAX),
-            grants,
+            is_change,
+            grants: grants.into_iter().map(|(grant, _)| grant).collect(),
             without_spare: self.without_spare(now),
         }
     }
@@ -172,6 +186,7 @@
             session: self.session,
             lease: 0,
             lasts_ms: 0,
+            is_change: false,
             grants: Vec::new(),
             without_spare: Vec::new(),
         }
@@ -186,6 +201,7 @@
             daemons: report.daemons,
             heard_at: now,
             is_confirmed: report.session == self.session,
+            sent_lease: number,
         };
         self.members.insert(report.reporter.clone(), member);
         (number, confirmed)
@@ -212,13 +228,14 @@
         }
     }
 
+    /// Returns the grants of a reporter, and whether each differs from that of the previous lease.
     fn grants(
         &mut self,
         now: Instant,
         reporter: &Reporter<'_>,
         used: &HashMap<OrganisationId, &QuotaUse>,
-        exceeded: &[OrganisationId],
-    ) -> Vec<QuotaGrant> {
+        (is_early, exceeded): (bool, &[OrganisationId]),
+    ) -> Vec<(QuotaGrant, bool)> {
         let share = self.counted_share(now);
         let holds = |account: &&KeptAccount| account.holds(reporter.instance);
         let held = self.accounts.iter().filter(|(_, account)| holds(account)).map(|(id, _)| *id);
@@ -229,16 +246,19 @@
             let pool = pool(&self.upper, now, id, share);
             let Some(account) = self.accounts.get_mut(&id) else { continue };
             account.refill(now, pool, limit);
-            let is_exceeded = exceeded.contains(&id);
-            account.record(reporter, used.get(&id).copied(), is_exceeded);
+            // Responses to early reports are kept short.
+            if is_early && !used.contains_key(&id) {
+                account.renew(reporter);
+                continue;
+            }
+            account.record(reporter, used.get(&id).copied(), exceeded.contains(&id));
             let base_of_others = base_without_holding(account, &self.members, self.daemons);
+            let previous = account.granted_to(reporter.instance);
             let granted = account.grant(reporter, pool, base_of_others, limit);
             self.is_early |= account.is_dry() && self.upper.has_spare(now, id);
-            grants.extend(granted.map(|part| QuotaGrant {
-                id,
-                // Rounded down, so that the sum isn't exceeded.
-                per_billion: (part * BILLION) as u32,
-            }));
+            // Rounded down, so that the sum isn't exceeded.
+            let per_billion = granted.map(|part| (part * BILLION) as u32);
+            grants.push((QuotaGrant { id, per_billion }, previous != granted));
         }
         grants
     }
@@ -270,6 +290,10 @@
     }
 
     fn expire(&mut self, now: Instant) {
+        if self.expired_at.is_some_and(|expired_at| now < expired_at + EXPIRY_INTERVAL) {
+            return;
+        }
+        self.expired_at = Some(now);
         self.members.retain(|_, member| member.heard_at + LEASE > now);
         for account in self.accounts.values_mut() {
             account.expire(now);
--- a/crates/yuccarack_policy/src/quota/lease_holder.rs
+++ b/crates/yuccarack_policy/src/quota/lease_holder.rs
@@ -109,9 +109,15 @@
         (self.session, self.lease, self.failures) = (lease.session, lease.lease, 0);
         let expires_at = sent_at + Duration::from_millis(lease.lasts_ms.into());
         (self.expires_at, self.kept_until) = (Some(expires_at), Some(expires_at + KEPT_FOR));
-        let grants = lease.grants.iter();
-        self.grants =
-            grants.map(|grant| (grant.id, f64::from(grant.per_billion) / BILLION)).collect();
+        if !lease.is_change {
+            self.grants.clear();
+        }
+        for grant in &lease.grants {
+            match grant.per_billion {
+                Some(part) => self.grants.insert(grant.id, f64::from(part) / BILLION),
+                None => self.grants.remove(&grant.id),
+            };
+        }
         self.without_spare = lease.without_spare.iter().copied().collect();
         true
     }
