Extra attempts: reserve divided without rounding, shed requests whose callers can return yield

Cause: rounded down to whole attempts, 90 daemons use 90 of the 132 attempts of the reserve that the policy allows itself (60 daemons: 60 of 96). Where most requests are shed, calls of targets, which fail their parent when refused, compete for the allowance with callers that can return after 50 ms.

Change: with organisations or downloads each daemon's part may contain a fraction of an attempt; the sum over all daemons stays at most 60 % of the reserve, or one attempt each as before if that is more.

Ruled out: more than 60 % for shed requests. A shed attempt causes no further calls, but repeated runs of other services do, and an entry can't bound these for a service, so the rule could be broken.

For 1 to 2,500 daemons the exact parts exceed neither bound.

--- a/crates/yuccarack_policy/src/budget.rs
+++ b/crates/yuccarack_policy/src/budget.rs
@@ -36,8 +36,13 @@
 
     /// Sets the most extra attempts that the budget holds.
     pub fn set_reserve(&mut self, reserve: u16) {
+        self.set_reserve_hundredths(u32::from(reserve) * COST_HUNDREDTHS);
+    }
+
+    /// Sets the most extra attempts that the budget holds, in hundredths of one.
+    pub fn set_reserve_hundredths(&mut self, reserve_hundredths: u32) {
         if !self.is_off() {
-            self.level_max_hundredths = u32::from(reserve) * COST_HUNDREDTHS;
+            self.level_max_hundredths = reserve_hundredths;
             self.level_hundredths = self.level_hundredths.min(self.level_max_hundredths);
         }
     }
@@ -58,6 +63,15 @@
         self.level_max_hundredths == 0
     }
 
+    /// Returns whether the budget covers more than one extra attempt: half of what it can hold
+    /// beyond the first, and at most two.
+    ///
+    /// A budget that had to be full would earn nothing until the next spending, and lose 16 of 100.
+    pub fn has_spare(&self) -> bool {
+        let beyond_first = self.level_max_hundredths.saturating_sub(COST_HUNDREDTHS) / 2;
+        self.level_hundredths >= COST_HUNDREDTHS + beyond_first.min(COST_HUNDREDTHS)
+    }
+
     /// Returns how full the budget is, from 0 to 1.
     pub fn level(&self) -> f64 {
         f64::from(self.level_hundredths) / f64::from(self.level_max_hundredths.max(1))
--- a/crates/yuccarack_policy/src/extra_attempts.rs
+++ b/crates/yuccarack_policy/src/extra_attempts.rs
@@ -31,6 +31,9 @@
 /// failure domains.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
 
+/// Cost of one extra attempt in hundredths, the smallest part of the reserve that is of use.
+const ATTEMPT_HUNDREDTHS: u32 = 100;
+
 /// How an attempt at a gate failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum GateAttemptFailure {
@@ -57,6 +60,8 @@
     pub targets_max: u8,
     /// Time for which the caller still waits.
     pub time_left: Duration,
+    /// Whether the caller of a shed request can return in time, which costs no allowance.
+    pub can_return: bool,
 }
 
 /// Why no extra attempt is made.
@@ -92,6 +97,8 @@
 pub struct ExtraAttempts {
     allowance: EarnedBudget,
     reserve: u32,
+    entries: usize,
+    has_exact_reserve: bool,
     failure_share: f64,
 }
 
@@ -102,7 +109,17 @@
         let percent = u32::from(percent) * ALLOWANCE_USED_PERCENT / 100;
         let percent = u8::try_from(percent).unwrap_or(100);
         let allowance = EarnedBudget::new(percent, entry_reserve(reserve, entries));
-        Self { allowance, reserve, failure_share: 0.0 }
+        Self { allowance, reserve, entries, has_exact_reserve: false, failure_share: 0.0 }
+    }
+
+    /// Sets whether this entry's part of the reserve may contain a fraction of an attempt.
+    ///
+    /// Rounded down to whole attempts, the parts of 90 entries of a reserve of 220 hold 90 of the
+    /// 132 attempts that are used. The fractions add up to no more than these 132. A part below one
+    /// attempt is rounded up in either case, as no attempt would ever be covered otherwise.
+    pub fn set_exact_reserve(&mut self, is_exact: bool) {
+        self.has_exact_reserve = is_exact;
+        self.update_reserve();
     }
 
     /// Recomputes this entry's part of the reserve, which `entries` now share.
@@ -110,7 +127,17 @@
     /// An entry that starts while it knows few others must not keep its large part for good, or all
     /// entries together would make several times the extra attempts that operators allow.
     pub fn set_entry_count(&mut self, entries: usize) {
-        self.allowance.set_reserve(entry_reserve(self.reserve, entries));
+        self.entries = entries;
+        self.update_reserve();
+    }
+
+    fn update_reserve(&mut self) {
+        let whole = u32::from(entry_reserve(self.reserve, self.entries)) * ATTEMPT_HUNDREDTHS;
+        let entries = u32::try_from(self.entries).unwrap_or(u32::MAX).max(1);
+        // In hundredths of an attempt, the used percentage is a factor.
+        let exact = self.reserve.saturating_mul(ALLOWANCE_USED_PERCENT) / entries;
+        let part = if self.has_exact_reserve { exact.max(ATTEMPT_HUNDREDTHS) } else { whole };
+        self.allowance.set_reserve_hundredths(part);
     }
 
     /// Earns the share of one request.
@@ -152,6 +179,11 @@
             return Err(NoExtraAttemptReason::DeadlineClose);
         }
         let is_free = failed.kind == GateAttemptFailure::Refused;
+        // Where most requests are shed, the allowance is left to those whose callers can't return.
+        let yields = failed.kind == GateAttemptFailure::Shed && failed.can_return;
+        if yields && !self.allowance.has_spare() {
+            return Err(NoExtraAttemptReason::AllowanceUsedUp);
+        }
         if !is_free && !self.spend() {
             return Err(NoExtraAttemptReason::AllowanceUsedUp);
         }
--- a/crates/yuccarack_policy/tests/extra_tries.rs
+++ b/crates/yuccarack_policy/tests/extra_tries.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use yuccarack_policy::extra_attempts::{
     ExtraAttempts, FailedGateAttempt, GateAttemptFailure, NoExtraAttemptReason,
 };
@@ -16,6 +17,7 @@
         targets_run: 1,
         targets_max: 2,
         time_left: TIME_LEFT,
+        can_return: false,
     }
 }
 
@@ -162,3 +164,60 @@
     }
     assert!(tenths.iter().map(|tenth| tenth.extra).sum::<u32>() > 194, "hardly any extra attempt");
 }
+
+/// Guards against a reserve that is lost to rounding: 90 daemons share 220 extra attempts, of which
+/// 60 % are used. Whatever their number, daemons that hold more than one attempt each stay within
+/// these 60 %, and no more attempts are made than with rounding otherwise.
+#[test]
+fn an_exact_reserve_is_used_up_and_never_exceeded() {
+    for daemons in [1, 2, 11, 60, 90, 131, 132, 133, 700, 2_500] {
+        let spent_by_one = |is_exact| {
+            let mut attempts = ExtraAttempts::new(20, 220, daemons);
+            attempts.set_exact_reserve(is_exact);
+            let shed = failed_attempt(GateAttemptFailure::Shed);
+            let mut spent = 0_u32;
+            for _ in 0..50 {
+                attempts.earn();
+                while attempts.decide(shed).is_ok() {
+                    spent += 1;
+                }
+            }
+            spent
+        };
+        let (exact, rounded) = (spent_by_one(true), spent_by_one(false));
+        let earned = 0.12 * 50.0;
+        let reserve = (220.0 * 0.6 / daemons as f64).max(1.0);
+        assert!(f64::from(exact) <= earned + reserve + 1e-6, "{exact} at {daemons}");
+        assert!(exact >= rounded, "{exact} against {rounded} at {daemons}");
+    }
+}
+
+/// All targets shed 55 of 100 requests, of which half are calls of targets that fail their parent
+/// when they are refused, and half are of callers that can return after 50 ms. The allowance must
+/// go to the calls, and what they leave to the callers; with callers only, it is used as before.
+#[test]
+fn requests_whose_callers_can_return_leave_the_allowance_to_others() {
+    let spent = |share_of_calls: f64| {
+        let mut attempts = ExtraAttempts::new(20, 220, 90);
+        attempts.set_exact_reserve(true);
+        let (mut by_calls, mut by_callers) = (0_u32, 0_u32);
+        let mut rng = SmallRng::seed_from_u64(5);
+        for _ in 0..2_000 {
+            attempts.earn();
+            let is_call = rng.random_bool(share_of_calls);
+            let shed = FailedGateAttempt {
+                can_return: !is_call,
+                ..failed_attempt(GateAttemptFailure::Shed)
+            };
+            let is_shed = rng.random_bool(0.55);
+            if is_shed && attempts.decide(shed).is_ok() {
+                *(if is_call { &mut by_calls } else { &mut by_callers }) += 1;
+            }
+        }
+        (by_calls, by_callers)
+    };
+    let (by_calls, by_callers) = spent(0.5);
+    assert!(by_calls > 2 * by_callers, "{by_calls} of calls and {by_callers} of callers");
+    let (_, alone) = spent(0.0);
+    assert!(alone > 225, "{alone} of callers alone");
+}
--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -7,6 +7,7 @@
 mod call_trace;
 mod head;
 mod prober;
+mod returns;
 mod route_stats;
 mod service;
 
@@ -34,6 +35,7 @@
     call::{ForwardedHead, RoutedCall},
     call_trace::{CallTrace, end_label},
     head::RoutedHead,
+    returns::uses_returns,
     route_stats::RouteStats,
     service::{MembershipUpdate, RoutedService},
 };
@@ -333,7 +335,8 @@
             None => {
                 let entries = self.parts.members.count();
                 let settings = self.parts.settings.current();
-                let service = Arc::new(RoutedService::new(&settings, entries));
+                let has_exact_reserve = uses_returns(&self.parts.routing);
+                let service = Arc::new(RoutedService::new(&settings, entries, has_exact_reserve));
                 services.insert(name.to_owned(), Arc::clone(&service));
                 service
             }
--- a/crates/yuccarackd/src/coordination/routed/entry/service.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/service.rs
@@ -80,20 +80,20 @@
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(100);
 
 impl RoutedService {
-    /// Creates a service without gates.
-    pub fn new(settings: &RoutedSettings, entries: usize) -> Self {
+    /// Creates a service without gates. `has_exact_reserve` is whether the reserve of extra attempts
+    /// is divided without rounding.
+    pub fn new(settings: &RoutedSettings, entries: usize, has_exact_reserve: bool) -> Self {
         let bounds = &settings.bounds;
+        let mut extra_attempts =
+            ExtraAttempts::new(bounds.extra_tries_percent, bounds.extra_tries, entries);
+        extra_attempts.set_exact_reserve(has_exact_reserve);
         let state = State {
             generation: 0,
             placement: Placement::new().with_decisions(settings.decisions),
             key_by_instance: HashMap::new(),
             member_by_key: SecondaryMap::new(),
             announcement_by_key: SecondaryMap::new(),
-            extra_attempts: ExtraAttempts::new(
-                bounds.extra_tries_percent,
-                bounds.extra_tries,
-                entries,
-            ),
+            extra_attempts,
             mean_service_time: None,
             rng: SmallRng::from_rng(&mut rand::rng()),
         };
