Shed requests yield extra attempts only if their callers have time for the wait asked for

Cause: a request whose target is full or names a Retry-After yielded although its caller couldn't return before the soft deadline.

Change: the wait of the refusal counts, with 210 ms for the way and the run. With 50 ms the limit is 260 ms as before.

--- a/crates/yuccarack_policy/src/shed_returns.rs
+++ b/crates/yuccarack_policy/src/shed_returns.rs
@@ -24,17 +24,16 @@
 /// limit about once in ten thousand requests.
 const SHED_SHARE_MAX: f64 = 0.85;
 
-/// Shortest remaining time in which a caller can return.
+/// Time that a returning request needs beside its wait, to its caller, back and for its run.
 ///
-/// The wait, two ways to the caller and a run take 140 ms with the shorter kinds of requests and
-/// 280 ms with the longer ones. The calls that targets make have at most 250 ms, and their parent
-/// fails if they are refused.
-const RETURN_TIME_MIN: Duration = Duration::from_millis(260);
+/// It is 90 ms for the shorter kinds of requests and 230 ms for the longer ones. The calls that
+/// targets make have at most 250 ms left, and their parent fails if they are refused.
+const RETURN_TIME: Duration = Duration::from_millis(210);
 
-/// Returns whether the caller of a shed request, of whose time `time_left` remains until its soft
-/// deadline, can return in time.
-pub fn can_return(time_left: Duration) -> bool {
-    time_left >= RETURN_TIME_MIN
+/// Returns whether the caller of a shed request can return in time: it is asked to wait for
+/// `retry_after`, and `time_left` remains until its soft deadline.
+pub fn can_return(time_left: Duration, retry_after: Duration) -> bool {
+    time_left >= RETURN_TIME + retry_after
 }
 
 /// Share of the requests to one target that it shed.
--- a/crates/yuccarack_policy/tests/shed_returns.rs
+++ b/crates/yuccarack_policy/tests/shed_returns.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use yuccarack_policy::shed_returns::ShedReturns;
+use yuccarack_policy::shed_returns::{SHED_AT_RANDOM_RETRY_AFTER, ShedReturns, can_return};
 
 /// Wait of callers whose gate gives no shorter one.
 const FULL_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -73,3 +73,13 @@
     returns.record(true);
     assert_eq!(returns.retry_after(false), None);
 }
+
+/// Guards against requests without an extra attempt whose callers can't return either: a call of a
+/// target with 250 ms left, and a request whose target asks for a long wait.
+#[test]
+fn only_callers_with_time_for_the_wait_can_return() {
+    let ms = Duration::from_millis;
+    assert!(can_return(ms(390), SHED_AT_RANDOM_RETRY_AFTER));
+    assert!(!can_return(ms(250), SHED_AT_RANDOM_RETRY_AFTER));
+    assert!(!can_return(ms(390), FULL_TARGET_RETRY_AFTER));
+}
--- a/crates/yuccarackd/src/coordination/routed/entry/attempts.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/attempts.rs
@@ -171,7 +171,12 @@
                 self.call.deadline.remaining(now),
                 return_margin(&self.entry.parts.routing),
             ),
-            can_return: self.call.can_return(now, &self.entry.parts.routing),
+            can_return: match reply {
+                Reply::Answered(_) => false,
+                Reply::Refused(refusal) => {
+                    self.call.can_return(now, refusal, &self.entry.parts.routing)
+                }
+            },
         });
         let is_retried = decision.is_ok() && self.call.body.can_be_sent();
         let next = decision.err().map_or("another_gate", |reason| reason.as_str());
