--- a/crates/yuccarackd/src/protocol/gate_capacity.rs
+++ b/crates/yuccarackd/src/protocol/gate_capacity.rs
@@ -6,15 +6,13 @@
 /// Name of the header.
 pub const GATE_CAPACITY: &str = "yuccarack-gate-capacity";
 
-/// Capacity of a gate's link and of the services that its target calls.
+/// Capacity of a gate's link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct GateCapacity {
     /// Time that the link needs for the response bytes that wait at the gate.
     pub link_backlog: Option<Duration>,
     /// Rate of the link.
     pub link_kbit_per_s: Option<u32>,
-    /// Share of the target's latest calls to other services that were served in time, in percent.
-    pub calls_served_percent: Option<u8>,
 }
 
 impl GateCapacity {
@@ -32,9 +30,6 @@
         if let Some(kbit_per_s) = self.link_kbit_per_s {
             write!(f, "link_kbit={kbit_per_s};")?;
         }
-        if let Some(percent) = self.calls_served_percent {
-            write!(f, "calls={percent};")?;
-        }
         Ok(())
     }
 }
@@ -49,7 +44,6 @@
             match name {
                 "link_ms" => capacity.link_backlog = Some(Duration::from_millis(value.parse()?)),
                 "link_kbit" => capacity.link_kbit_per_s = Some(value.parse()?),
-                "calls" => capacity.calls_served_percent = Some(value.parse()?),
                 _ => {}
             }
         }
--- a/crates/yuccarackd/tests/hop_headers.rs
+++ b/crates/yuccarackd/tests/hop_headers.rs
@@ -88,7 +88,6 @@
         Self(GateCapacity {
             link_kbit_per_s: Option::arbitrary(g),
             link_backlog: Option::arbitrary(g).map(Duration::from_millis),
-            calls_served_percent: Option::arbitrary(g),
         })
     }
 }
--- a/crates/yuccarackd/tests/organisation_headers.rs
+++ b/crates/yuccarackd/tests/organisation_headers.rs
@@ -41,12 +41,11 @@
 
     fn capacities_are_read_as_written(
         backlog_ms: Option<u32>,
-        link_kbit_per_s: Option<u32>,
-        percent: Option<u8>
+        link_kbit_per_s: Option<u32>
     ) -> bool {
         let link_backlog = backlog_ms.map(|ms| Duration::from_millis(ms.into()));
         let capacity =
-            GateCapacity { link_backlog, link_kbit_per_s, calls_served_percent: percent };
+            GateCapacity { link_backlog, link_kbit_per_s };
         capacity.to_string().parse() == Ok(capacity)
     }
 }
@@ -101,13 +100,10 @@
 
 #[test]
 fn fields_of_a_newer_capacity_are_ignored() {
-    let expected = GateCapacity {
-        link_backlog: Some(Duration::from_millis(40)),
-        link_kbit_per_s: None,
-        calls_served_percent: Some(70),
-    };
+    let expected =
+        GateCapacity { link_backlog: Some(Duration::from_millis(40)), link_kbit_per_s: None };
     assert_eq!("new=x;calls=70;other;link_ms=40;".parse(), Ok(expected));
-    for malformed in ["link_ms=soon;", "link_ms=-1;", "calls=300;", "calls=;"] {
+    for malformed in ["link_ms=soon;", "link_ms=-1;", "link_kbit=-1;", "link_kbit=;"] {
         assert!(malformed.parse::<GateCapacity>().is_err(), "{malformed}");
     }
 }
--- a/crates/yuccarackd/tests/routed/refused_in_time.rs
+++ b/crates/yuccarackd/tests/routed/refused_in_time.rs
@@ -16,7 +16,7 @@
 use crate::support::{ORDERS, READS, board_routes, program};
 
 /// One-way latency to the gate and back.
-const LATENCY_MS: u64 = 1;
+const LATENCY_MS: u64 = 3;
 
 /// Slots of a target that a gate uses.
 const SLOTS_USED: usize = 7;
@@ -74,9 +74,7 @@
     let downloads = RouteSpec { kind: "download", ..RouteSpec::reads(READS, "/d/", "board") };
     let deployment = deploy("waited", &[board_routes(), vec![downloads]].concat()).await;
     let statuses = statuses_of_waiting(&deployment).await;
-    let refused = statuses.iter().filter(|it| **it == StatusCode::SERVICE_UNAVAILABLE).count();
-    // On a busy machine a new connection to the gate alone takes longer than the margin.
-    assert!(refused * 10 >= statuses.len() * 8, "{statuses:?}");
+    assert!(statuses.iter().all(|it| *it == StatusCode::SERVICE_UNAVAILABLE), "{statuses:?}");
 }
 
 /// Guards against a changed deadline of gates in deployments without organisations and downloads:
--- a/crates/yuccarackd/tests/routed/soak/organisations.rs
+++ b/crates/yuccarackd/tests/routed/soak/organisations.rs
@@ -34,9 +34,6 @@
 const UNKNOWN_KEY: &str = "key-of-nobody";
 const UNKNOWN_KEY_SHARE: f64 = 0.05;
 
-/// Whether the daemons enforce quotas. Until they do, the organisations have none.
-const QUOTAS_ARE_ENFORCED: bool = false;
-
 /// Time after the acceptance of a document from which its removed keys are refused.
 const REMOVED_KEY_MAX: Duration = Duration::from_millis(2_500);
 
@@ -90,7 +87,7 @@
     let written_at = Instant::now();
     let quota = |(organisation, (_, rate_per_s, burst)): (usize, &(_, f64, u32))| Quota {
         organisation,
-        rate_per_s: if QUOTAS_ARE_ENFORCED { *rate_per_s } else { 0.0 },
+        rate_per_s: *rate_per_s,
         burst: *burst,
         written_at,
     };
