--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -10,6 +10,7 @@
 mod returns;
 mod route_stats;
 mod service;
+mod services;
 
 use std::{
     collections::HashMap,
@@ -35,9 +36,8 @@
     call::{ForwardedHead, RoutedCall},
     call_trace::{CallTrace, end_label},
     head::RoutedHead,
-    returns::uses_returns,
     route_stats::RouteStats,
-    service::{MembershipUpdate, RoutedService},
+    service::RoutedService,
 };
 use super::{deadline::CallDeadline, events::EventLog, gate::Gate, peers::Peers, quota::Quotas};
 use crate::{
@@ -311,47 +311,6 @@
         }
     }
 
-    fn choose_service(&self, route: &Route) -> Result<ServiceName, Refusal> {
-        if let [only] = route.split.as_slice() {
-            return Ok(only.service.clone());
-        }
-        let weights: Vec<u32> = route.split.iter().map(|share| share.weight).collect();
-        let mut splits = self.splits.lock();
-        let is_known = splits.get(&route.name).is_some_and(|split| split.has_weights(&weights));
-        if !is_known {
-            splits.insert(route.name.clone(), WeightedRoundRobin::new(weights, &mut rand::rng()));
-        }
-        let share_index = splits.get_mut(&route.name).and_then(WeightedRoundRobin::next_part);
-        let share = share_index.and_then(|index| route.split.get(index));
-        share.map(|share| share.service.clone()).ok_or(Refusal::not_run(Reason::NoTarget))
-    }
-
-    fn service(&self, name: &str) -> Arc<RoutedService> {
-        // Both generations only increase, so a change of either increases their sum.
-        let generation = self.parts.members.generation() + self.parts.evacuations.generation();
-        let mut services = self.services.lock();
-        let service = match services.get(name) {
-            Some(service) => Arc::clone(service),
-            None => {
-                let entries = self.parts.members.count();
-                let settings = self.parts.settings.current();
-                let has_exact_reserve = uses_returns(&self.parts.routing);
-                let service = Arc::new(RoutedService::new(&settings, entries, has_exact_reserve));
-                services.insert(name.to_owned(), Arc::clone(&service));
-                service
-            }
-        };
-        drop(services);
-        if !service.has_synced(generation) {
-            let mut members = self.parts.members.of_service(name);
-            members.retain(|it| !self.parts.evacuations.is_evacuated(&it.failure_domain));
-            let local_domain = &self.parts.settings.current().failure_domain;
-            let entries = self.parts.members.count();
-            service.sync_members(generation, MembershipUpdate { local_domain, members, entries });
-        }
-        service
-    }
-
     /// Counts and logs the end of a call and converts its result to the caller's response.
     fn finish(
         &self,
--- a/crates/yuccarackd/src/coordination/routed/gate/link.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/link.rs
@@ -110,7 +110,6 @@
         GateCapacity {
             link_backlog: Some(pacer.backlog(now)),
             link_kbit_per_s: Some(pacer.link_kbit_per_s()),
-            ..GateCapacity::default()
         }
     }
 
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -1,6 +1,7 @@
 //! The gate of one target, which all routed requests to the target pass through.
 
 mod announcements;
+mod availability;
 mod cold;
 mod crash_tracker;
 mod exchange;
@@ -11,22 +12,19 @@
 mod request;
 mod server;
 mod shed;
+mod target;
 mod work_slots;
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, atomic::AtomicBool},
     time::{Duration, Instant},
 };
 
 use http::{Response, header};
 use parking_lot::RwLock;
-use tokio::time::sleep;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
-use yuccarack_config::{decisions::FeatureSwitches, heartbeat::TargetPhase};
-use yuccarack_policy::{cold_rate::ColdRate, placement::GateLoad, work_queue::QueueRefusal};
+use yuccarack_config::decisions::FeatureSwitches;
+use yuccarack_policy::{placement::GateLoad, work_queue::QueueRefusal};
 
 pub use self::{
     crash_tracker::{CrashTracker, CrashTrackerParts},
@@ -38,11 +36,7 @@
     exchange::Exchange, idle_drop_tracker::IdleDropTracker, shed::ShedTracker,
     work_slots::WorkSlots,
 };
-use super::{
-    events::EventLog,
-    log_lines::{GateRefused, TargetAdmitted, TargetReachable, TargetUnreachable},
-    return_margin::return_margin,
-};
+use super::{events::EventLog, log_lines::GateRefused, return_margin::return_margin};
 use crate::{
     protocol::{
         body::CallBody,
@@ -61,7 +55,7 @@
             target::{RoutedTarget, RoutedTargetView},
         },
     },
-    transport::{tcp_probe::is_listening, upstream::Upstream},
+    transport::upstream::Upstream,
 };
 
 /// `Retry-After` of a refusal because the target of this gate accepts no requests now.
@@ -70,13 +64,6 @@
 /// `Retry-After` of a quarantined request. The quarantine itself lasts for a minute.
 const QUARANTINED_RETRY_AFTER: Duration = Duration::from_secs(5);
 
-/// Time between two connection attempts to an unreachable target. Its process takes longer to
-/// restart.
-const RECONNECT_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Timeout of a connection attempt to an unreachable target, which is on the same machine.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Prefix of the gate's refusal counters; the reason follows.
 const REFUSED: &str = "gate.refused";
 
@@ -248,160 +235,6 @@
         response
     }
 
-    fn active_target_for(&self, request: &GateRequest) -> Result<Arc<ActiveTarget>, Refusal> {
-        let reject = |reason| Refusal::not_run(reason).with_retry_after(UNAVAILABLE_RETRY_AFTER);
-        if self.parts.leaving.is_cancelled() {
-            return Err(reject(Reason::Draining));
-        }
-        let active = self.active.read().clone().ok_or_else(|| reject(Reason::NotReady))?;
-        if let Some(known) = request.hop.announcement {
-            self.record_known_announcement(&active, known);
-        }
-        self.check_available(&active)?;
-        if self.is_evacuated() {
-            return Err(reject(Reason::Evacuated));
-        }
-        if active.view.service != request.hop.service {
-            return Err(reject(Reason::OtherService));
-        }
-        Ok(active)
-    }
-
-    fn check_available(&self, active: &ActiveTarget) -> Result<(), Refusal> {
-        self.check_accepting(active)?;
-        if active.is_unreachable.load(Ordering::Acquire) {
-            // The target is meant here; `NoConnection` is the reason for an unreachable gate.
-            return Err(
-                Refusal::not_run(Reason::Unreachable).with_retry_after(UNAVAILABLE_RETRY_AFTER)
-            );
-        }
-        Ok(())
-    }
-
-    /// Checks that the target's process is the same, doesn't drain and isn't evacuated.
-    fn check_accepting(&self, active: &ActiveTarget) -> Result<(), Refusal> {
-        let reject =
-            |reason| Err(Refusal::not_run(reason).with_retry_after(UNAVAILABLE_RETRY_AFTER));
-        let current = self.parts.target.current();
-        match current {
-            None => return reject(Reason::Draining),
-            Some(view) if !view.is_same_process(&active.view) => return reject(Reason::NotReady),
-            Some(view) if view.phase == TargetPhase::Draining => return reject(Reason::Draining),
-            Some(_) => {}
-        }
-        if self.is_evacuated() {
-            return reject(Reason::Evacuated);
-        }
-        Ok(())
-    }
-
-    /// Checks that the organisation of a request still has a key, by which its entry admitted it.
-    fn check_organisation(&self, request: &GateRequest) -> Result<(), Refusal> {
-        let Some(organisation) = request.hop.organisation else { return Ok(()) };
-        let Some(routing) = self.parts.routing.current() else { return Ok(()) };
-        // An entry with a newer table may know an organisation that this gate doesn't.
-        let is_newer = request.hop.routing_version > routing.version();
-        match is_newer || routing.has_key_of(organisation.id) {
-            true => Ok(()),
-            false => Err(Refusal::not_run(Reason::Unauthorized)),
-        }
-    }
-
-    /// Refuses requests to an unreachable target until a connection succeeds again.
-    ///
-    /// A process that hangs with its port open accepts no connections, and without this each
-    /// request would wait for the full connection timeout.
-    fn mark_unreachable(&self, active: &Arc<ActiveTarget>) {
-        if active.is_unreachable.swap(true, Ordering::AcqRel) {
-            return;
-        }
-        self.parts.counters.add("gate.target_unreachable");
-        self.parts.events.write(|| TargetUnreachable {
-            target: active.view.target.clone(),
-            address: active.view.address.to_string(),
-        });
-        let (active, events) = (Arc::clone(active), self.parts.events.clone());
-        self.parts.background.spawn(async move {
-            tokio::select! {
-                () = active.stop.cancelled() => {}
-                () = active.wait_until_reachable() => {
-                    active.is_unreachable.store(false, Ordering::Release);
-                    events.write(|| TargetReachable { target: active.view.target.clone() });
-                }
-            }
-        });
-    }
-
-    /// Applies the target's reported state and returns the target if it is new or restarted.
-    ///
-    /// A target that isn't ready or whose failure domain is evacuated stops getting requests, and
-    /// those in the queue are refused.
-    fn update_target(&self, view: Option<Arc<RoutedTargetView>>) -> Option<Arc<ActiveTarget>> {
-        let mut active = self.active.write();
-        let is_accepting =
-            |view: &Arc<RoutedTargetView>| view.phase == TargetPhase::Ready && !self.is_evacuated();
-        let Some(view) = view.filter(is_accepting) else {
-            if let Some(old) = active.as_ref() {
-                old.slots.change(|queue, now| queue.start_draining(now));
-            }
-            return None;
-        };
-        if let Some(old) = active.as_ref().filter(|old| old.view.is_same_process(&view)) {
-            old.slots.change(|queue, now| {
-                queue.stop_draining();
-                queue.set_slots(now, view.slots);
-                if view.is_cold {
-                    queue.cold_rate_mut().extend_cold_until(view.cold_until);
-                }
-            });
-            return None;
-        }
-        let mut cold_rate = ColdRate::new(self.started_at);
-        if let Some(old) = active.take() {
-            old.slots.change(|queue, now| queue.start_draining(now));
-            // The operators' bound on cold targets counts across restarts of the target.
-            cold_rate = old.slots.read(|queue| queue.cold_rate().clone());
-            old.stop.cancel();
-        }
-        if view.is_cold {
-            cold_rate.extend_cold_until(view.cold_until);
-        }
-        self.parts.events.write(|| TargetAdmitted {
-            target: view.target.clone(),
-            service: view.service.clone(),
-            life: view.incarnation,
-            slots: view.slots,
-        });
-        let added = Arc::new(self.activate_target(view, cold_rate));
-        *active = Some(Arc::clone(&added));
-        Some(added)
-    }
-
-    /// Returns the path of the target's health checks from the routing table.
-    fn health_check_path(&self, active: &ActiveTarget) -> Option<String> {
-        let routing = self.parts.routing.current()?;
-        routing.service(&active.view.service).map(|service| service.load_path.clone())
-    }
-
-    /// Returns whether operators have evacuated the failure domain of this gate.
-    fn is_evacuated(&self) -> bool {
-        self.parts.evacuations.is_evacuated(&self.parts.settings.current().failure_domain)
-    }
-
-    fn activate_target(&self, view: Arc<RoutedTargetView>, cold_rate: ColdRate) -> ActiveTarget {
-        let slots = WorkSlots::new(view.slots, cold_rate, self.parts.decisions);
-        let stop = CancellationToken::new();
-        self.parts.background.spawn(slots.clone().run_timer(stop.clone()));
-        ActiveTarget {
-            view,
-            slots,
-            stop,
-            is_unreachable: AtomicBool::new(false),
-            idle_drops: IdleDropTracker::default(),
-            sheds: ShedTracker::default(),
-        }
-    }
-
     fn log_refusal(&self, request: &GateRequest, refusal: &Refusal) {
         self.parts.counters.add_reason(REFUSED, refusal.reason.as_str());
         self.parts.events.write(|| {
@@ -425,17 +258,6 @@
     }
 }
 
-impl ActiveTarget {
-    async fn wait_until_reachable(&self) {
-        loop {
-            sleep(RECONNECT_INTERVAL).await;
-            if is_listening(self.view.address, CONNECT_TIMEOUT).await {
-                return;
-            }
-        }
-    }
-}
-
 fn admission_refusal(refusal: QueueRefusal) -> Refusal {
     Refusal::not_run(Reason::Admission(refusal.reason.as_str()))
         .with_retry_after(refusal.retry_after)
--- a/crates/yuccarackd/tests/gate_capacity.rs
+++ b/crates/yuccarackd/tests/gate_capacity.rs
@@ -11,7 +11,6 @@
     let capacity = GateCapacity {
         link_backlog: Some(Duration::from_millis(340)),
         link_kbit_per_s: Some(11_000),
-        ..GateCapacity::default()
     };
     assert_eq!(capacity.to_string().parse(), Ok(capacity));
     let newer = format!("{capacity}colour=blue;");
