--- a/crates/yuccarack_policy/tests/quota/ledger.rs
+++ b/crates/yuccarack_policy/tests/quota/ledger.rs
@@ -5,11 +5,6 @@
     time::{Duration, Instant},
 };
 
-use rand::{
-    Rng, SeedableRng,
-    distr::{Distribution, weighted::WeightedIndex},
-    rngs::SmallRng,
-};
 use yuccarack_policy::quota::{
     KEPT_FOR, LEASE, QuotaKeeper, QuotaLedger, QuotaLimit, REPORT_INTERVAL,
 };
@@ -87,57 +82,3 @@
     let fixed_share = limits(10.0)[&ORGANISATION].rate_per_s / 2.0;
     assert!((rate - fixed_share).abs() < 1e-9, "{rate} a second instead of the fixed share");
 }
-
-/// Measures the reports and leases of 60 daemons in 4 failure domains with 72 organisations, whose
-/// demand is like that of the first deployment.
-#[test]
-#[ignore = "prints a figure"]
-fn compare_bytes_of_many_organisations() {
-    const DAEMONS: usize = 60;
-    const TIME_S: u64 = 20;
-    let start = Instant::now();
-    let weights: Vec<f64> = (1..=72).map(|place| f64::from(place).powf(-1.2)).collect();
-    let total: f64 = weights.iter().sum();
-    let limit = |weight: &f64| QuotaLimit::from_rate(839.0 * weight / total / 0.6, 10.0, TOLERANCE);
-    // Ids as long as hashes.
-    let id = |place: usize| u64::MAX / 73 * (place as u64 + 1);
-    let limits: HashMap<u64, QuotaLimit> =
-        weights.iter().enumerate().map(|(place, weight)| (id(place), limit(weight))).collect();
-    let new_keeper =
-        |index: u64| QuotaKeeper::new(format!("keeper-{index}"), u64::MAX / (index + 3));
-    let mut keepers: Vec<QuotaKeeper> = (0..4).map(new_keeper).collect();
-    keepers.iter_mut().for_each(|keeper| keeper.set_limits(start, 60, &limits));
-    let mut root = QuotaKeeper::new("root".to_owned(), u64::MAX / 5);
-    root.set_limits(start, 60, &limits);
-    let names = (0..DAEMONS).map(|index| format!("sidecar-sapporo-{index}"));
-    let mut ledgers: Vec<QuotaLedger> = names.map(QuotaLedger::new).collect();
-    ledgers.iter_mut().for_each(|ledger| ledger.set_limits(start, 60, &limits));
-    let mut rng = SmallRng::seed_from_u64(5);
-    let chosen = WeightedIndex::new(&weights).expect("weights");
-    let (mut bytes, mut reports) = (0, 0);
-    for step in 0..TIME_S * 200 {
-        let now = start + Duration::from_millis(5 * step);
-        for (index, ledger) in ledgers.iter_mut().enumerate() {
-            if rng.random_bool(839.0 / 60.0 * 0.005) {
-                let _ = ledger.admit(now, id(chosen.sample(&mut rng)));
-            }
-            if ledger.report_due_at(now).is_some_and(|due_at| due_at <= now) {
-                let report = ledger.take_report(now);
-                let lease = keepers[index % 4].grant(now, &report);
-                assert!(ledger.apply_lease(now, now, &lease));
-                let encoded = [serde_json::to_vec(&report), serde_json::to_vec(&lease)];
-                bytes += encoded.iter().flatten().map(Vec::len).sum::<usize>();
-                reports += 1;
-            }
-        }
-        for keeper in &mut keepers {
-            if keeper.report_due_at(now).is_some_and(|due_at| due_at <= now) {
-                let report = keeper.take_report(now);
-                let lease = root.grant(now, &report);
-                assert!(keeper.apply_lease(now, &lease));
-            }
-        }
-    }
-    let per_daemon_s = |count: usize| count as f64 / DAEMONS as f64 / TIME_S as f64;
-    println!("{:.1} reports, {:.0} bytes", per_daemon_s(reports), per_daemon_s(bytes));
-}
--- a/crates/yuccarack_policy/tests/quota/main.rs
+++ b/crates/yuccarack_policy/tests/quota/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod ledger;
+mod many;
 mod throttle;
 
 use std::time::Duration;
