Entry: a response that has arrived by the deadline is read before 504 is returned

Callers got 504 (unknown outcome) for requests whose refusal the gate had sent in time, so they could not return. Cause: the deadline ended the call as soon as its timer fired. In a process that lacks processor time the timer and the socket become ready in the same turn of the runtime, and the task that the timer wakes runs before the connection's task. At the deadline the runtime now polls its sockets in two more turns and takes a result that is there. No attempt is started in them, as no time is left.

--- a/crates/yuccarackd/src/coordination/routed/entry/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/mod.rs
@@ -14,13 +14,15 @@
 
 use std::{
     collections::HashMap,
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use futures_util::FutureExt;
 use http::{HeaderValue, Request, Response, header, request::Parts};
 use parking_lot::Mutex;
-use tokio::time::timeout_at;
+use tokio::{task::yield_now, time::timeout_at};
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 use yuccarack_config::{
@@ -72,6 +74,10 @@
 /// caller still waits. The way to a caller takes 1 to 8 ms.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
 
+/// Turns of the runtime in which a response that arrived before the deadline is still read: one for
+/// the task of its connection, one for the call.
+const READ_TURNS: usize = 2;
+
 /// Prefix of the entry's refusal counters; the reason follows.
 const REFUSED: &str = "entry.refused";
 
@@ -283,10 +289,10 @@
         let tracker = OutcomeTracker::new();
         let deadline = call.deadline.at();
         let attempts = Attempts::new(self, call, service, &tracker, gates);
-        match timeout_at(deadline.into(), attempts.run()).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(refusal)) => Err(Refusal { outcome: tracker.outcome(), ..refusal }),
-            Err(_) => {
+        match finish_by(deadline, attempts.run()).await {
+            Some(Ok(response)) => Ok(response),
+            Some(Err(refusal)) => Err(Refusal { outcome: tracker.outcome(), ..refusal }),
+            None => {
                 let outcome = tracker.outcome();
                 Err(Refusal { outcome, ..Refusal::unknown(Reason::DeadlinePassed) })
             }
@@ -339,6 +345,25 @@
     }
 }
 
+/// Returns the result of `attempts`, or `None` if there is none at `deadline`.
+///
+/// A response that has arrived by then counts. In a process that lacks processor time the timer may
+/// be handled before the socket is read.
+async fn finish_by<T>(deadline: Instant, attempts: impl Future<Output = T>) -> Option<T> {
+    let mut attempts = pin!(attempts);
+    if let Ok(result) = timeout_at(deadline.into(), attempts.as_mut()).await {
+        return Some(result);
+    }
+    for _ in 0..READ_TURNS {
+        // The runtime polls its sockets before it continues this task.
+        yield_now().await;
+        if let Some(result) = attempts.as_mut().now_or_never() {
+            return Some(result);
+        }
+    }
+    None
+}
+
 /// Route that a call takes, and the organisation that it belongs to.
 struct RouteOfCall<'a> {
     routing: &'a Routing,
