Queue: requests behind overdue runs are rejected before their deadline

Callers of a gate whose target had stalled waited until 15 ms before their deadline, were rejected too late to return, and got 504 where the machine was busy: requests_that_wait_until_their_deadline_have_not_run failed in 4 of 4 runs beside 16 busy processes on 8 cores, with 1 to 4 of 20 requests. Cause: the queue estimates a wait by the mean service time, which says nothing about runs that hold their slots far longer than that; so a wait ended only at the margin before the deadline, and a trace by stage shows 5 to 16 ms lost on arrival and up to 7 ms until the wait ended. Ruled out: a larger margin, which a busier machine exceeds again. Change: once all slots are held by runs that have taken over twice the upper service time of their kind, each is expected to take as long again. A request that can't be served then is rejected at once, with that time as Retry-After. It applies where waits end before their deadline already (organisations or downloads); other deployments wait as before, as without_downloads_requests_wait_until_the_deadline_of_the_entry asks. Moved: the rejection of unservable requests has a module of its own.

--- a/crates/yuccarack_policy/src/work_queue/mod.rs
+++ b/crates/yuccarack_policy/src/work_queue/mod.rs
@@ -30,6 +30,7 @@
 mod rate_limited;
 mod request;
 mod service_times;
+mod unservable;
 mod waiting;
 
 use std::time::{Duration, Instant};
@@ -78,10 +79,6 @@
 /// without running it. Rejected at once, it can come back when there is room.
 const LATE_WAIT_SHARE_MAX: f64 = 0.1;
 
-/// Shortest time between two polls of the waiting requests. It delays a rejection by at most as
-/// much, which is less than a network round trip between failure domains and back to the caller.
-const POLL_INTERVAL_MIN: Duration = Duration::from_millis(5);
-
 /// Share of the time to the soft deadline that is assumed as service time of a kind until a request
 /// of that kind has completed here.
 ///
@@ -109,6 +106,7 @@
     fair_shares: FairShares,
     finished_waits: Vec<WaitResult>,
     is_draining: bool,
+    refuses_behind_overdue: bool,
     decisions: FeatureSwitches,
 }
 
@@ -126,6 +124,7 @@
             fair_shares: FairShares::new(),
             finished_waits: Vec::new(),
             is_draining: false,
+            refuses_behind_overdue: false,
             decisions: FeatureSwitches::default(),
         }
     }
@@ -285,37 +284,6 @@
         std::mem::take(&mut self.finished_waits)
     }
 
-    /// Returns when `poll` must be called next if nothing else happens before; always later than
-    /// `now`.
-    ///
-    /// The latest start of a request that can meet its deadline is computed with the current
-    /// slowdown. A change of the slowdown may move it into the past although `poll` keeps the
-    /// request, as it can still be served. With a time in the past the caller would poll in a busy
-    /// loop for up to a tenth of a second, which is the whole quota of a daemon with a tenth of a
-    /// core.
-    pub fn next_wake(&self, now: Instant) -> Option<Instant> {
-        if !self.finished_waits.is_empty() {
-            return Some(now + POLL_INTERVAL_MIN);
-        }
-        let unservable_at = |waiting: &WaitingRequest| {
-            let request = waiting.request;
-            let service_time = self.service_time(now, request.kind);
-            let soft_limit_at =
-                request.soft_deadline.checked_sub(self.upper_service_time(now, request.kind));
-            let soft_limit_at = soft_limit_at.filter(|soft_limit_at| *soft_limit_at > now);
-            let hard_limit_at =
-                request.deadline.checked_sub(service_time).unwrap_or(request.deadline);
-            soft_limit_at.map_or(hard_limit_at, |soft_limit_at| soft_limit_at.min(hard_limit_at))
-        };
-        let next = self.waiting.values().map(unservable_at).min()?;
-        let has_slot = self.has_free_slot();
-        let starts_at =
-            self.cold_rate.next_dispatch_at(now).max(self.rate_limit.next_dispatch_at(now));
-        let starts_at = starts_at.filter(|_| has_slot);
-        let next = starts_at.map_or(next, |starts_at| starts_at.min(next));
-        Some(next.max(now + POLL_INTERVAL_MIN))
-    }
-
     /// Rejects all waiting and all new requests; running ones continue.
     pub fn start_draining(&mut self, now: Instant) {
         self.is_draining = true;
@@ -357,6 +325,7 @@
             return Err(QueueRefusalReason::RateLimited);
         }
         let starts_at = now + self.estimated_wait(now, ahead);
+        let starts_at = self.overdue_slot_free_at(now).map_or(starts_at, |at| at.max(starts_at));
         if starts_at + self.service_time(now, request.kind) > request.deadline {
             return Err(QueueRefusalReason::CannotEndInTime);
         }
@@ -414,43 +383,12 @@
         priority_key(request, standing, self.is_expedited(now, request.kind), now, upper_time)
     }
 
-    /// Rejects the waiting requests that can't be served in time.
-    ///
-    /// A request that can't meet its deadline would be held until then, too late for its caller to
-    /// retry. One that can't meet its soft deadline is overtaken by all that still can: in an
-    /// overload of some seconds it would wait for up to 80 % of its time and be rejected after all.
-    ///
-    /// Over 12 simulated days of high load, rejecting both early lowers the share of the value that
-    /// was held until the deadline and left unserved from 1.4 % to 0.4 %.
-    fn refuse_unservable(&mut self, now: Instant) {
-        let waiting = self.waiting.iter();
-        let unservable =
-            waiting.filter_map(|(key, waiting)| Some((key, self.refusal_reason(now, waiting)?)));
-        let unservable: Vec<(WaitingKey, QueueRefusalReason)> = unservable.collect();
-        for (key, reason) in unservable {
-            let refusal = self.refusal(now, reason);
-            self.remove_refused(key);
-            self.finished_waits.push(WaitResult::Refused(key, refusal));
-        }
-    }
-
     fn remove_refused(&mut self, key: WaitingKey) {
         if let Some(waiting) = self.waiting.remove(key) {
             self.fair_shares.record_refusal(waiting.request.organisation);
         }
     }
 
-    /// Returns why a waiting request can't be served in time, if so.
-    fn refusal_reason(&self, now: Instant, waiting: &WaitingRequest) -> Option<QueueRefusalReason> {
-        let done_at = now + self.service_time(now, waiting.request.kind);
-        if done_at > waiting.request.deadline {
-            return Some(QueueRefusalReason::CannotEndInTime);
-        }
-        let likely_done_at = now + self.upper_service_time(now, waiting.request.kind);
-        let is_too_late = self.is_too_late_to_wait(now, &waiting.request, likely_done_at);
-        is_too_late.then_some(QueueRefusalReason::TooLate)
-    }
-
     fn refused(&self, now: Instant, reason: QueueRefusalReason) -> QueueDecision {
         QueueDecision::Refused(self.refusal(now, reason))
     }
@@ -459,6 +397,8 @@
         let room_in = self.estimated_wait(now, self.waiting.len());
         // A cold target rejects most of its usual load and has room only once it is warm.
         let room_in = room_in.max(self.cold_rate.cold_time_left(now));
+        let slot_free_at = self.overdue_slot_free_at(now).unwrap_or(now);
+        let room_in = room_in.max(slot_free_at.saturating_duration_since(now));
         let retry_after = room_in.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
         QueueRefusal { reason, retry_after: retry_after.max(self.rate_limit_turn_in(now)) }
     }
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -142,6 +142,7 @@
                 self.parts.background.spawn(health_checks::run(Arc::clone(&self), active));
             }
             self.update_cold_bound();
+            self.update_early_refusals();
             tokio::select! {
                 () = stop.cancelled() => break,
                 () = self.parts.leaving.cancelled() => break,
@@ -241,6 +242,13 @@
         response
     }
 
+    /// Applies to the queue whether the deployment ends the wait of requests before their deadline.
+    fn update_early_refusals(&self) {
+        let Some(active) = self.active.read().clone() else { return };
+        let is_used = !return_margin(&self.parts.routing).is_zero();
+        active.slots.change(|queue, _| queue.set_refuses_behind_overdue(is_used));
+    }
+
     fn log_refusal(&self, request: &GateRequest, refusal: &Refusal) {
         self.parts.counters.add_reason(REFUSED, refusal.reason.as_str());
         self.parts.events.write(|| {
