Crash reports go to all gates of a service side by side

Callers could crash a third and fourth target with one request for seconds: a gate reported a crash to one gate after the other, and waited up to 500 ms for each that did not respond. At most 64 reports are under way, each over a connection of its own. The hypothesis that this is the cause of a_suspect_does_not_run_without_the_store is dropped: that test has daemons by rules, whose updates (Gossip::send_urgent) went out side by side already.

--- a/crates/yuccarackd/src/coordination/routed/gate/crash_tracker.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/crash_tracker.rs
@@ -5,6 +5,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use futures_util::{StreamExt, stream};
 use http::{HeaderValue, Request, header};
 use parking_lot::Mutex;
 use tokio::{
@@ -42,6 +43,9 @@
 /// Timeout for another gate to acknowledge a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Most gates that a report is sent to at the same time, each over a connection of its own.
+const REPORTS_MAX: usize = 64;
+
 /// Dependencies of [`CrashTracker`].
 pub struct CrashTrackerParts {
     /// The settings in force.
@@ -139,17 +143,18 @@
             fingerprints.iter().map(|fingerprint| format!("{fingerprint:x}")).collect();
         let Ok(report) = HeaderValue::from_str(&texts.join(",")) else { return };
         let settings: Arc<RoutedSettings> = parts.settings.current();
-        for member in parts.members.of_service(service) {
-            if member.instance == settings.instance {
-                continue;
-            }
+        let members = parts.members.of_service(service).into_iter();
+        let others = members.filter(|member| member.instance != settings.instance);
+        // Side by side, so that a gate that doesn't respond delays no other.
+        let reports = stream::iter(others).for_each_concurrent(REPORTS_MAX, async |member| {
             let acknowledged =
                 timeout(REPORT_TIMEOUT, self.report_to_gate(member.gate_address, &report));
             if acknowledged.await != Ok(true) {
                 parts.counters.add("crashes.untold");
                 parts.events.write(|| CrashReportNotSent { gate: member.instance.clone() });
             }
-        }
+        });
+        reports.await;
     }
 
     async fn report_to_gate(&self, address: SocketAddr, report: &HeaderValue) -> bool {
