Stand-ins: a failed wait for targets prints what all daemons know; a missing operators' program is built

The failure of fifth_seeds ("repairs-1 knows 3 ready targets of repairs" within 30 s) left nothing to trace it by. A wait for targets that fails now prints the members' rows in the store with their revisions, and of each daemon its status, its target, its members, its counters and the end of its log.

--- a/crates/yuccarack_standins/src/fleet/mod.rs
+++ b/crates/yuccarack_standins/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! A fleet for tests: real daemons and tools among stand-ins, with a fault-injecting proxy on each
 //! link.
 
+mod build;
 mod node;
 mod operator;
 mod plan;
@@ -20,7 +21,7 @@
 use http::Method;
 use serde_json::Value;
 use yuccarack_config::{headers, rules::ServiceRules};
-use yuccarack_platform::rows::{MemberRow, TargetState};
+use yuccarack_platform::rows::{MemberRow, TargetState, member_prefix};
 
 pub use self::{
     node::{Links, Node},
@@ -28,7 +29,7 @@
     plan::{DOMAINS, FleetPlan},
     process::Daemon,
     stress::{StressCall, StressLoad, StressPlan, StressReport, check_stress_calls},
-    wait::{WAIT_MAX, wait_for, wait_until},
+    wait::{WAIT_MAX, wait_for, wait_until, wait_until_or_report},
 };
 use crate::{
     client::{ClientError, ClientRequest, ClientResponse, HttpClient},
@@ -49,6 +50,9 @@
 /// Time without a request after which a target counts as idle.
 const IDLE_TIME: Duration = Duration::from_millis(200);
 
+/// Lines at the end of each daemon's log that a failed wait prints.
+const REPORTED_LOG_LINES: usize = 40;
+
 /// Seed peers of each daemon, which it queries when the platform is unavailable.
 const SEED_PEERS: usize = 2;
 
@@ -89,6 +93,7 @@
     /// A part can't be started.
     pub async fn without_daemons(plan: FleetPlan) -> io::Result<Self> {
         println!("seed {}", plan.seed);
+        build::build_missing(&plan.operator_program)?;
         let folder = folder()?;
         let platform = Platform::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await?;
         let run_log = RunLog::default();
@@ -115,7 +120,7 @@
     /// The file is rejected, or the operators' program can't be run.
     pub async fn apply(&self, services: Vec<ServiceRules>) {
         let output = self.operator.apply("first", &rules_file(0, services)).await;
-        let output = output.expect("the operators' program can't be run; build it first");
+        let output = output.expect("the operators' program can't be run");
         assert_eq!(
             output.exit_code, 0,
             "rules file rejected: {} {}",
@@ -165,8 +170,35 @@
     /// Waits until the daemon of `node` knows `count` ready targets of `service`.
     pub async fn wait_targets_known(&self, node: &Node, service: &str, count: usize) {
         let what = format!("{} knows {count} ready targets of {service}", node.name());
-        wait_until(&what, || async { self.ready_targets(node, service).await.len() == count })
-            .await;
+        let is_known = || async { self.ready_targets(node, service).await.len() == count };
+        wait_until_or_report(&what, is_known, async || self.print_members(service).await).await;
+    }
+
+    /// Prints the members of `service` in the store and as each daemon knows them, with its status,
+    /// its counters and the end of its log.
+    pub async fn print_members(&self, service: &str) {
+        let stored = self.platform.with_table(|table| table.rows(&member_prefix(service)));
+        println!("members in the store:");
+        for row in stored.rows {
+            println!("  revision {}: {}", row.revision, row.value);
+        }
+        for node in &self.nodes {
+            println!("{}:", node.name());
+            for path in ["/status", "/targets", "/counters"] {
+                let found: Result<Value, _> =
+                    self.client.get_json(node.admin_address(), path).await;
+                match found {
+                    Ok(found) => println!("  {path} {found}"),
+                    Err(error) => println!("  {path} failed: {error}"),
+                }
+            }
+            let log = node.daemon.as_ref().map(|daemon| fs::read_to_string(daemon.log()));
+            let log = log.and_then(Result::ok).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            for line in &lines[lines.len().saturating_sub(REPORTED_LOG_LINES)..] {
+                println!("  {line}");
+            }
+        }
     }
 
     /// Returns the instances of `service` that the daemon of `node` considers ready.
--- a/crates/yuccarack_standins/src/fleet/plan.rs
+++ b/crates/yuccarack_standins/src/fleet/plan.rs
@@ -28,8 +28,8 @@
 }
 
 impl FleetPlan {
-    /// Makes a plan for the daemon at `program` without targets; the operators' program is expected
-    /// in the same folder.
+    /// Makes a plan for the daemon at `program` without targets; the operators' program is in the
+    /// same folder, and is built there if it is missing.
     pub fn new(program: &str, seed: u64) -> Self {
         let program = PathBuf::from(program);
         Self {
