Gate: a health check without a path no longer counts as done

Evidence, the gate's log of both failed runs: the target was taken in 5.0 and 3.5 ms before the routing table came into force, and 7 requests ran at once as soon as it did; the limit was learned 340 ms later from the first response, not from a health check. Cause: a gate runs one request only until it has checked a target that it finds, but the path of the check comes with the routing table. Without it the check ended at once and counted as done, so all slots were open. Load only decides which of the two arrives first. Ruled out: the check's timeout of 40 ms (the seven ran within 30 ms of the take-in) and what entries know (the requests came through the restarted entry). Now checks wait for the table, whose arrival wakes them.

--- a/crates/yuccarackd/src/coordination/routed/gate/health_checks.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/health_checks.rs
@@ -93,6 +93,11 @@
 }
 
 async fn check_and_record(gate: &Gate, active: &ActiveTarget) {
+    // Without the path nothing can be asked. If that counted as a check, requests would fill all
+    // slots of a target whose rate limit is not known yet.
+    if gate.parts.routing.current().is_none() {
+        return;
+    }
     let result = check(gate, active).await;
     active.slots.change(|queue, _| queue.rate_limit_mut().record_health_check_end());
     active.health_check_schedule.lock().record(Instant::now(), result);
@@ -106,7 +111,8 @@
     queue: &WorkQueue,
     now: Instant,
 ) -> Option<Instant> {
-    if queue.is_draining() {
+    // The path of the checks comes with the routing table, whose arrival wakes this task.
+    if queue.is_draining() || gate.parts.routing.current().is_none() {
         return None;
     }
     let cold_check_at = queue.cold_rate().health_check_due_at(now);
--- a/crates/yuccarackd/tests/routed/limits.rs
+++ b/crates/yuccarackd/tests/routed/limits.rs
@@ -6,11 +6,11 @@
 use tokio::time::sleep;
 use yuccarack_platform_standin::{
     caller::{Call, CallResponse, send_call},
-    deployment::Deployment,
+    deployment::{Deployment, RouteSpec},
     target::Behaviour,
 };
 
-use crate::support::{ORDERS, READS, deployed};
+use crate::support::{ORDERS, READS, board_routes, deployed};
 
 /// Window in which the requests to a limited target are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -22,6 +22,12 @@
 /// Time after a caller got a response with the limit in which requests may still be on their way.
 const PASS_ON_TIME: Duration = Duration::from_millis(500);
 
+/// Routes of a table that takes a second over a link of [`THIN_BYTES_PER_S`].
+const ROUTES: usize = 1_500;
+
+/// Rate of a thin link to the store.
+const THIN_BYTES_PER_S: u64 = 256 * 1024;
+
 /// Number of callers, each of which sends one request after the other.
 const CALLERS: usize = 24;
 
@@ -213,6 +219,45 @@
     assert!((1..=allowed(0.5)).contains(&most), "{most} requests in {WINDOW:?}");
 }
 
+/// Sends one read after the other to the entry of `instance` until `until`.
+async fn send_reads(deployment: &Deployment, instance: usize, until: Instant) {
+    let address = deployment.instances[instance].call_address();
+    let callers = (0..CALLERS).map(|caller| async move {
+        for number in 0.. {
+            if Instant::now() >= until {
+                break;
+            }
+            send_call(address, &Call::read(READS, "/r/1", &format!("e{caller}-{number}"))).await;
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+    join_all(callers).await;
+}
+
+/// Guards against a restarted gate that finds its target before it has a routing table, and fills
+/// the target as soon as it has one, because a health check without a path counted as done.
+#[tokio::test]
+async fn a_limit_is_kept_by_a_gate_whose_routing_table_comes_late() {
+    let mut deployment = deploy("late", 2).await;
+    let others = (0..ROUTES).map(|number| RouteSpec::reads(READS, format!("/{number}/"), "board"));
+    deployment.apply(&board_routes().into_iter().chain(others).collect::<Vec<_>>()).await;
+    deployment.instances[0].target.set_behaviour(Behaviour::Respond(Duration::from_millis(300)));
+    deployment.instances[0].target.announce_limit(Some("0.25"));
+    send_load(&deployment, 3 * PASS_ON_TIME).await;
+    let from = Instant::now();
+    // The table comes from the store only, over a thin link.
+    deployment.instances[1].daemon.as_ref().expect("a daemon").pause();
+    let restarted = &mut deployment.instances[0];
+    restarted.store_server.set_rate(Some(THIN_BYTES_PER_S));
+    restarted.kill_daemon();
+    restarted.start_daemon().await.expect("a daemon");
+    restarted.start_heartbeats();
+    send_reads(&deployment, 0, Instant::now() + WINDOW / 2).await;
+    let most = most_in_window(&deployment, 0, from);
+    assert!((1..=allowed(0.25)).contains(&most), "{most} requests in {WINDOW:?}");
+    deployment.instances[1].daemon.as_ref().expect("a daemon").resume();
+}
+
 /// Guards against a gate that restarts again and again and lets requests through each time until
 /// its target's first response, although the entries know the limit.
 #[tokio::test]
