--- a/crates/yuccarack_policy/src/work_queue/unservable.rs
+++ b/crates/yuccarack_policy/src/work_queue/unservable.rs
@@ -1,4 +1,4 @@
-//! Waiting requests that can't be served in time, and when the queue has to look for them.
+//! Rejects waiting requests that can't be served in time, and computes when to poll for them next.
 
 use std::time::{Duration, Instant};
 
