--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -1,9 +1,9 @@
 """A small deployment: the store, machines with a daemon and a backend each, and the operator."""
 
 import asyncio
+import itertools
 import json
 import os
-import random
 import shutil
 import signal
 import socket
@@ -58,19 +58,22 @@
         self.file.close()
 
 
+# Below the ports that the kernel gives to connections; scripts that run side by side use others.
+next_port = itertools.count(10000 + os.getpid() % 200 * 110)
+
+
 def free_ports(count):
-    """Returns ports that are free now, below those that the kernel gives to connections."""
+    """Returns ports that are free now, each of them once."""
     ports = []
-    while len(ports) < count:
-        port = random.randrange(10000, 32000)
+    for port in next_port:
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in ports:
-            ports.append(port)
-    return ports
+        ports.append(port)
+        if len(ports) == count:
+            return ports
 
 
 class Machine:
