Notice polls that a silent store has lost, and poll again in time

Seen by callers: after a store that didn't respond for 8 s, changes that it acknowledged after its return were in force nowhere for some 15 s.

Cause: a change ends the polls of all relays at the same time. All of them sent the next poll, with a wait of 25 s, while the store was silent. It was lost, and nothing but its time-out of 26 s showed that. A poll that the store held open was lost in the same way if a change ended it meanwhile. Ruled out: the relays' check of each other, as all of them wait alike; the first load, which polled with a wait of 25 s too, now polls without one.

Change: the wait of a poll ends with a slot on the store's clock, so that in a deployment one response is due every 2 s (from six relays) to 6 s. A late response (0.5 s) is a warning: the daemon sends it to other relays, and all of them poll again. Where slots are further apart than 2.1 s, the first poll after a change waits 1 s (members 2 s), and a long poll is sent 100 ms before the response to the poll before it is due, which then shows that the store got it. When one table's poll fails, the other table is polled again too.

This works because a response shows that the store responds after it got the poll, so silence at any moment of a poll leaves a response out that somebody waits for. Not covered: a silence that ends within the 100 ms between a renewal and the response before it.

The policy's tests play silences at random moments against 2 to 48 polls, and fail if the warnings are left out.

--- a/crates/yuccarack_platform/src/feed.rs
+++ b/crates/yuccarack_platform/src/feed.rs
@@ -27,6 +27,8 @@
     pub rows: Vec<FeedRow>,
     /// Whether further pages follow, which may be read at later revisions.
     pub has_more: bool,
+    /// Time of the response on the store's steady clock, in ms; 0 if the store reports none.
+    pub store_time_ms: u64,
 }
 
 /// An HTTP request to the store, independent of the client that sends it.
--- a/crates/yuccarack_policy/src/lib.rs
+++ b/crates/yuccarack_policy/src/lib.rs
@@ -17,7 +17,7 @@
 //!   [`slowdown`]; it ends their wait by [`return_margin`], tells callers of shed requests when to
 //!   return by [`shed_returns`], paces its responses by [`link_pacing`], whose sizes entries learn by
 //!   [`response_sizes`], checks its target by
-//!   [`health_checks`] and counts crashes in [`crash_counts`]. [`relays`] and
+//!   [`health_checks`] and counts crashes in [`crash_counts`]. [`relays`], [`change_polls`] and
 //!   [`unreachable_members`] limit the control traffic and the list of members.
 //!
 //! Both modes use [`budget`].
@@ -25,6 +25,7 @@
 pub mod adaptive_throttle;
 pub mod admission;
 pub mod budget;
+pub mod change_polls;
 pub mod choice;
 pub mod cold_rate;
 pub mod crash_counts;
--- a/crates/yuccarack_policy/src/relays.rs
+++ b/crates/yuccarack_policy/src/relays.rs
@@ -92,6 +92,13 @@
     ranked.into_iter().map(|(_, member)| member).collect()
 }
 
+/// Returns the relays of a failure domain of `members` that poll the store, by rank.
+pub fn store_relays_of<'a>(members: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut relays = relays_of(members);
+    relays.truncate(STORE_RELAYS);
+    relays
+}
+
 /// Returns the time between two polls of the store by a follower while its relays respond and the
 /// store serves none of them; `size` daemons are in the failure domain.
 ///
--- a/crates/yuccarackd/src/coordination/routed/gate/server.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/server.rs
@@ -12,7 +12,7 @@
     protocol::{
         body::{CallBody, SendableBody},
         hop::{HOP, Hop},
-        peer_update::{CRASH_SUSPECTS, UpdateRequest},
+        peer_update::{CRASH_SUSPECTS, STORE_WARNING, UpdateRequest},
         quota,
         refusal::{Reason, Refusal},
         registration,
@@ -75,6 +75,9 @@
         if let Some(query) = UpdateRequest::from_headers(request.headers()) {
             return self.peers.respond(query);
         }
+        if request.headers().contains_key(STORE_WARNING) {
+            return self.peers.receive_store_warning();
+        }
         if let Some(report) = request.headers().get(CRASH_SUSPECTS) {
             self.gate.parts.crashes.receive_report(report);
             return Response::new(crate::protocol::body::empty());
--- a/crates/yuccarackd/src/coordination/routed/peers/candidates.rs
+++ b/crates/yuccarackd/src/coordination/routed/peers/candidates.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use yuccarack_policy::relays::relays_of;
+use yuccarack_policy::relays::{relays_of, store_relays_of};
 
 use super::Peers;
 
@@ -18,6 +18,16 @@
 
     /// Returns the gates of the relays of all failure domains.
     pub(super) fn relays(&self) -> Vec<SocketAddr> {
+        self.chosen_members(|domain| relays_of(domain))
+    }
+
+    /// Returns the gates of the relays of all failure domains that poll the store.
+    pub(super) fn store_relays(&self) -> Vec<SocketAddr> {
+        self.chosen_members(|domain| store_relays_of(domain))
+    }
+
+    /// Returns the gates of the members that `choose` returns for each failure domain.
+    fn chosen_members(&self, choose: for<'a> fn(Vec<&'a str>) -> Vec<&'a str>) -> Vec<SocketAddr> {
         let members = self.inner.parts.members.all();
         let mut domains: HashMap<&str, HashMap<&str, SocketAddr>> = HashMap::new();
         for member in &members {
@@ -25,7 +35,7 @@
             gates.insert(member.instance.as_str(), member.gate_address);
         }
         let relay_addresses = |gates: HashMap<&str, SocketAddr>| -> Vec<SocketAddr> {
-            let relays = relays_of(gates.keys().copied());
+            let relays = choose(gates.keys().copied().collect());
             relays.iter().filter_map(|relay| gates.get(relay).copied()).collect()
         };
         domains.into_values().flat_map(relay_addresses).collect()
--- a/crates/yuccarackd/src/coordination/routed/peers/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/peers/mod.rs
@@ -4,6 +4,7 @@
 mod candidates;
 mod intake;
 mod newer_table;
+mod store_warnings;
 
 use std::{
     net::SocketAddr,
--- a/crates/yuccarackd/src/coordination/routed/store_client.rs
+++ b/crates/yuccarackd/src/coordination/routed/store_client.rs
@@ -11,7 +11,7 @@
 };
 use yuccarack_platform_wire::store;
 
-use crate::state::counters::Counters;
+use crate::state::{counters::Counters, routed::store_clock::StoreClock};
 
 /// Longest wait for the head of a response that isn't held open.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -89,12 +89,18 @@
 pub struct StoreClient {
     client: PlatformClient,
     counters: Counters,
+    clock: StoreClock,
 }
 
 impl StoreClient {
     /// Sends requests through `client`.
     pub fn new(client: PlatformClient, counters: Counters) -> Self {
-        Self { client, counters }
+        Self { client, counters, clock: StoreClock::new() }
+    }
+
+    /// Returns the time on the store's clock.
+    pub fn time(&self) -> Duration {
+        self.clock.now()
     }
 
     /// Returns all rows of `table`. Pages are read one after the other, so they may differ in age;
@@ -151,6 +157,7 @@
         self.counters.add("store.reads");
         let page = self.send(request, RESPONSE_TIMEOUT, on_bytes).await;
         let page = page.and_then(|(status, body)| store::decode_rows(status, &body));
+        self.record_time(&page);
         self.count_result(purpose, "store.reads_failed", page)
     }
 
@@ -188,6 +195,7 @@
         let request = store::read_changes(table, after, wait_ms);
         let response = self.send(request, wait + RESPONSE_TIMEOUT, on_bytes).await;
         let rows = response.and_then(|(status, body)| store::decode_rows(status, &body));
+        self.record_time(&rows);
         self.count_result(purpose, "store.feeds_failed", rows)
     }
 
@@ -231,6 +239,12 @@
         Ok(self.client.send_feed_request(request, response_timeout, on_bytes).await?)
     }
 
+    fn record_time(&self, rows: &Result<FeedRows, FeedError>) {
+        if let Ok(rows) = rows {
+            self.clock.record(rows.store_time_ms);
+        }
+    }
+
     fn count_result<T>(
         &self,
         purpose: StorePurpose,
--- a/crates/yuccarackd/src/coordination/routed/store_follower.rs
+++ b/crates/yuccarackd/src/coordination/routed/store_follower.rs
@@ -3,6 +3,8 @@
 
 mod intake;
 mod load;
+mod poll_slots;
+mod polls;
 
 use std::{sync::Arc, time::Duration};
 
@@ -14,7 +16,7 @@
 use yuccarack_platform_wire::routing;
 
 pub use self::load::FIRST_MEMBERS_MAX;
-use self::load::LoadSource;
+use self::{load::LoadSource, polls::OpenPolls};
 use super::{
     events::EventLog,
     log_lines::{RoutingNotFetched, StoreAvailable, StoreUnavailable},
@@ -42,16 +44,6 @@
 /// Name of the store as a source in log lines.
 const STORE: &str = "store";
 
-/// How long the store holds a poll open when nothing has changed. Every poll is billed, and the
-/// store accepts at most 30 s.
-const FEED_WAIT: Duration = Duration::from_secs(25);
-
-/// Poll time for a while after the store failed to respond.
-///
-/// A store that hangs and recovers may never respond to polls sent before, and its changes stay
-/// unknown until those polls time out. Changes have to be in force within seconds.
-const FEED_WAIT_CAUTIOUS: Duration = Duration::from_secs(2);
-
 /// Poll time while the store is not this daemon's source of updates; it then responds at once.
 ///
 /// A daemon that becomes a relay would otherwise have its first poll held open for as long as
@@ -59,16 +51,19 @@
 /// members differ, so that each takes the other for the relays, would wait for each other.
 const FEED_WAIT_UNCONFIRMED: Duration = Duration::ZERO;
 
-/// How long [`FEED_WAIT_CAUTIOUS`] applies after a failure.
-const CAUTIOUS_PERIOD: Duration = Duration::from_secs(12);
+/// Wait of the first poll of the routing table after a change.
+const ROUTING_FIRST_WAIT: Duration = Duration::from_secs(1);
+
+/// Wait of the first poll of the members after a change. Targets that join have to receive requests
+/// within 4 s.
+const MEMBERS_FIRST_WAIT: Duration = Duration::from_secs(2);
 
 /// Pause after a change of the routing table, so that a series of changes costs few polls. It is
 /// small against the seconds within which a change has to be in force.
 const ROUTING_PAUSE: Duration = Duration::from_millis(100);
 
 /// Pause after a change of the members, so that targets that join in a row are read together. It is
-/// well within the 4 s in which they have to receive requests. A pause of 1.2 s costs 1,336 store
-/// requests in 40 s at 90 daemons with 13 joining in 6 s.
+/// well within the 4 s in which they have to receive requests.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(2_500);
 
 /// First delay after a failed query.
@@ -87,8 +82,7 @@
 const RETRY_MAX_WITHOUT_ROUTES: Duration = Duration::from_millis(800);
 
 /// Longest retry delay of a daemon that has routes and queries peers meanwhile. Refused requests
-/// are billed too: a refused daemon sends 17 of them in 8 s, against 27 with a maximum delay of 0.8
-/// s.
+/// are billed too.
 const RETRY_MAX: Duration = Duration::from_secs(2);
 
 /// Follows tables of the store and applies their changes to this daemon's state.
@@ -218,22 +212,20 @@
         let mut retry = RETRY_FIRST;
         let mut stale_read_retry = STALE_READ_RETRY_FIRST;
         let mut scope = PollScope::Changes;
-        let mut cautious_until = Instant::now();
+        let mut polls = OpenPolls::new(self, table);
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = self.sync_state.wait_queries_store(true) => {}
             }
-            let wait = match self.sync_state.source() {
-                UpdateSource::Store if Instant::now() >= cautious_until => FEED_WAIT,
-                UpdateSource::Store => FEED_WAIT_CAUTIOUS,
-                UpdateSource::Relay | UpdateSource::None => FEED_WAIT_UNCONFIRMED,
-            };
             let result = tokio::select! {
                 () = stop.cancelled() => return,
-                // A relay sends what the cancelled poll has not returned yet.
-                () = self.sync_state.wait_queries_store(false) => continue,
-                result = self.poll(table, scope, wait) => result,
+                // A relay sends what the cancelled polls have not returned yet.
+                () = self.sync_state.wait_queries_store(false) => {
+                    polls.cancel();
+                    continue;
+                }
+                result = polls.next_result(scope) => result,
             };
             let pause = match result {
                 Ok(PollResult::Stale) => {
@@ -258,7 +250,6 @@
                 }
                 Err(error) => {
                     self.mark_unavailable(table, &error);
-                    cautious_until = Instant::now() + CAUTIOUS_PERIOD;
                     next_delay(&mut retry, self.retry_max())
                 }
             };
@@ -381,6 +372,13 @@
     jittered(current)
 }
 
+fn first_wait(table: FollowedTable) -> Duration {
+    match table {
+        FollowedTable::Routing => ROUTING_FIRST_WAIT,
+        FollowedTable::Members => MEMBERS_FIRST_WAIT,
+    }
+}
+
 fn pause_after(table: FollowedTable) -> Duration {
     match table {
         FollowedTable::Routing => ROUTING_PAUSE,
--- a/crates/yuccarackd/src/coordination/routed/store_follower/load.rs
+++ b/crates/yuccarackd/src/coordination/routed/store_follower/load.rs
@@ -6,7 +6,9 @@
 use yuccarack_platform::feed::FeedError;
 use yuccarack_policy::relays::RelayRole;
 
-use super::{FEED_WAIT, MEMBERS_TABLE, PollScope, RETRY_FIRST, StoreFollower, next_delay};
+use super::{
+    FEED_WAIT_UNCONFIRMED, MEMBERS_TABLE, PollScope, RETRY_FIRST, StoreFollower, next_delay,
+};
 use crate::{
     coordination::routed::store_client::StorePurpose, state::routed::update_source::FollowedTable,
 };
@@ -72,7 +74,7 @@
                 () = self.known_relays.wait_failed() => {}
             }
         }
-        self.poll(FollowedTable::Members, PollScope::Changes, FEED_WAIT).await?;
+        self.poll(FollowedTable::Members, PollScope::Changes, FEED_WAIT_UNCONFIRMED).await?;
         Ok(LoadSource::Store)
     }
 
--- a/crates/yuccarackd/src/daemon/routed/sync.rs
+++ b/crates/yuccarackd/src/daemon/routed/sync.rs
@@ -64,6 +64,7 @@
         });
         let stop = &self.stops.background;
         self.spawn_until_stop(peers.clone().run(stop.clone()));
+        self.spawn_until_stop(peers.clone().send_store_warnings());
         let first_read_at = match settings.is_first_start {
             true => Instant::now() + FIRST_ROWS_DELAY,
             false => Instant::now(),
--- a/crates/yuccarackd/src/protocol/peer_update.rs
+++ b/crates/yuccarackd/src/protocol/peer_update.rs
@@ -34,6 +34,10 @@
 /// comma-separated list of hex fingerprints.
 pub const CRASH_SUSPECTS: &str = "yuccarack-crashed";
 
+/// Header of a request that warns another daemon of a late response of the store, which may have lost
+/// polls; the value has no meaning.
+pub const STORE_WARNING: &str = "yuccarack-store-late";
+
 /// Request of a daemon for updates from another daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UpdateRequest {
--- a/crates/yuccarackd/src/state/routed/mod.rs
+++ b/crates/yuccarackd/src/state/routed/mod.rs
@@ -13,6 +13,8 @@
 pub mod recent_changes;
 pub mod relay_lists;
 pub mod routing_state;
+pub mod store_clock;
+pub mod store_warnings;
 pub mod target;
 pub mod transfers;
 pub mod update_source;
--- a/crates/yuccarackd/src/state/routed/update_source.rs
+++ b/crates/yuccarackd/src/state/routed/update_source.rs
@@ -5,6 +5,7 @@
 use tokio::sync::watch;
 use yuccarack_config::ids::Revision;
 
+use super::store_warnings::StoreWarnings;
 use crate::protocol::peer_update::SyncedRevisions;
 
 /// Source from which this daemon receives updates.
@@ -32,6 +33,7 @@
     /// source is [`UpdateSource::Store`] only once it does.
     queries_store: watch::Sender<bool>,
     synced: watch::Sender<SyncedTables>,
+    store_warnings: StoreWarnings,
 }
 
 /// Revision up to which each table is synced; `None` if the full table has to be read first.
@@ -60,10 +62,16 @@
             source: watch::Sender::default(),
             queries_store: watch::Sender::new(true),
             synced: watch::Sender::default(),
+            store_warnings: StoreWarnings::new(),
         };
         Self { inner: Arc::new(inner) }
     }
 
+    /// Returns the warnings that the store may have lost polls.
+    pub fn store_warnings(&self) -> &StoreWarnings {
+        &self.inner.store_warnings
+    }
+
     /// Returns the current source of updates.
     pub fn source(&self) -> UpdateSource {
         *self.inner.source.borrow()
@@ -74,6 +82,12 @@
         self.inner.source.subscribe()
     }
 
+    /// Waits until `source` is the source of updates.
+    pub async fn wait_source(&self, source: UpdateSource) {
+        // The sender lives as long as `self`, so this can't fail.
+        let _ = self.inner.source.subscribe().wait_for(|current| *current == source).await;
+    }
+
     /// Sets the source of updates; returns the previous one.
     pub fn set_source(&self, source: UpdateSource) -> UpdateSource {
         let mut before = source;
--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -29,4 +29,5 @@
 #[expect(dead_code, reason = "these tests write documents, not tables")]
 #[path = "../support/tables.rs"]
 mod tables;
+mod unresponsive_store;
 mod uploads;
