Keep each confirmed leave, in any order of heartbeats and restarts

Cause: a leave was kept only if it named the process of the latest heartbeat, or if no heartbeat had arrived yet. A leave of a process that was not known, after another one was, got 200 and was dropped. A leave before the first heartbeat to a restarted daemon was kept in memory but never stored, as only known processes were stored. A leave was confirmed before the store had it, and a daemon that could not read the stored one took any heartbeat for valid.

Change: departures are a list of processes (id and start time), kept apart from the latest process and stored as a whole. A heartbeat of a listed process is never accepted; one of any other is accepted at once, also with a lower start time after the clock was set back. The leave of a process that started later ends the one that was known. A leave, or a heartbeat that reports draining, is confirmed once the store has it, within 0.7 s; otherwise it takes effect and is answered with 503. A daemon that can't read the stored departures accepts a process that has sent two heartbeats over at least a second, and goes on reading.

--- a/crates/yuccarackd/src/coordination/routed/control_server.rs
+++ b/crates/yuccarackd/src/coordination/routed/control_server.rs
@@ -39,6 +39,9 @@
 /// Longest wait for a body: its sender waits a second for the response.
 const BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest wait until the store has the departure of a target, which waits a second for the response.
+const STORED_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Handles the requests of the target and the platform.
 pub struct ControlServer {
     /// The target of this instance.
@@ -66,7 +69,10 @@
                 Some(body) => {
                     let status = self.heartbeat(target, &body);
                     wait_for_dispatched_requests().await;
-                    status
+                    match self.target.is_leaving() {
+                        true => self.confirm_departures(status).await,
+                        false => status,
+                    }
                 }
                 None => StatusCode::BAD_REQUEST,
             },
@@ -74,7 +80,7 @@
                 Some(body) => {
                     let status = self.leave(target, &body);
                     wait_for_dispatched_requests().await;
-                    status
+                    self.confirm_departures(status).await
                 }
                 None => StatusCode::BAD_REQUEST,
             },
@@ -141,6 +147,22 @@
         })
     }
 
+    /// Waits until the departures that a response with `status` would confirm are stored. A confirmed
+    /// departure has to hold if this daemon restarts, so one that isn't stored is not confirmed; it
+    /// takes effect all the same.
+    async fn confirm_departures(&self, status: StatusCode) -> StatusCode {
+        if status != StatusCode::OK {
+            return status;
+        }
+        match timeout(STORED_TIMEOUT, self.target.wait_departures_stored()).await {
+            Ok(()) => StatusCode::OK,
+            Err(_) => {
+                self.counters.add("target.departures_unconfirmed");
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+        }
+    }
+
     fn leave(&self, target: String, body: &[u8]) -> StatusCode {
         let leave = match heartbeat::decode_leave(target, body) {
             Ok(leave) => leave,
--- a/crates/yuccarackd/src/coordination/routed/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/mod.rs
@@ -3,6 +3,7 @@
 pub mod catch_up;
 pub mod control_server;
 pub mod deadline;
+pub mod departure_store;
 pub mod entry;
 pub mod events;
 pub mod gate;
--- a/crates/yuccarackd/src/coordination/routed/registrar.rs
+++ b/crates/yuccarackd/src/coordination/routed/registrar.rs
@@ -18,9 +18,10 @@
 use yuccarack_policy::relays::relays_of;
 
 use super::{
+    departure_store::DEPARTURES_TABLE,
     events::EventLog,
     log_lines::{RegistrationsNotWritten, RegistrationsWritten},
-    row_publisher::{DEPARTURES_TABLE, FIRST_WRITE_SPREAD},
+    row_publisher::FIRST_WRITE_SPREAD,
     store_client::{StoreClient, StorePurpose},
     store_follower::MEMBERS_TABLE,
 };
--- a/crates/yuccarackd/src/coordination/routed/row_publisher.rs
+++ b/crates/yuccarackd/src/coordination/routed/row_publisher.rs
@@ -4,23 +4,18 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use rand::Rng;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
-use yuccarack_config::{
-    heartbeat::{TargetId, TargetIncarnation},
-    ids::{InstanceId, Revision, ServiceName},
-    wire_data,
-};
+use yuccarack_config::ids::{InstanceId, Revision, ServiceName};
 use yuccarack_platform::feed::{FeedError, FeedWrite};
 
 use self::registration::RegisterError;
 use super::{
+    departure_store::DepartureStore,
     events::EventLog,
     log_lines::{
-        DepartureNotRead, DepartureNotStored, DepartureStored, MemberRowDeleted,
-        MemberRowNotDeleted, RowDeleted, RowNotDeleted, RowNotWritten, RowWritten,
+        MemberRowDeleted, MemberRowNotDeleted, RowDeleted, RowNotDeleted, RowNotWritten, RowWritten,
     },
     registrar::{Registrar, first_row_write},
     store_client::{StoreClient, StorePurpose},
@@ -29,11 +24,7 @@
 use crate::{
     coordination::jitter::{generator, jittered},
     protocol::peer_update::RoutedMember,
-    state::routed::{
-        known_relays::KnownRelays,
-        members::Members,
-        target::{DepartedTarget, RoutedTarget},
-    },
+    state::routed::{known_relays::KnownRelays, members::Members, target::RoutedTarget},
     transport::upstream::Upstream,
 };
 
@@ -43,28 +34,14 @@
 /// Longest retry delay; a target that joined has to be known 4 s later.
 const RETRY_MAX: Duration = Duration::from_millis(800);
 
-/// Table of targets that have announced that they leave, one row for each instance. No daemon
-/// follows it, so a row costs one write, and one read at each start of a daemon.
-pub const DEPARTURES_TABLE: &str = "leaving";
-
 /// Longest wait for the store at a start, be it for the departure row or for the write of the first
 /// member row; a target sends its next heartbeat 1.5 s later.
-const START_TIMEOUT: Duration = Duration::from_millis(1_200);
+pub(super) const START_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Time over which the first rows of a fleet are spread, so that few daemons of a failure domain find
 /// no registrar.
 pub const FIRST_WRITE_SPREAD: Duration = Duration::from_secs(1);
 
-wire_data! {
-    /// A target that has announced that it leaves.
-    struct DepartureRow {
-        /// Name of the target.
-        target: TargetId,
-        /// Last incarnation of the target that leaves.
-        last_life: TargetIncarnation,
-    }
-}
-
 /// Writes the row of one instance.
 #[derive(Clone)]
 pub struct RowPublisher {
@@ -74,6 +51,8 @@
     pub member: RoutedMember,
     /// The target of this instance.
     pub target: RoutedTarget,
+    /// Stores the departures of the target.
+    pub departures: DepartureStore,
     /// Members known to this daemon, this instance among them.
     pub members: Members,
     /// Log for writes and their failures.
@@ -94,16 +73,20 @@
     /// A write names the revision that it replaces. One whose response was lost may take effect
     /// seconds later, and must not replace a newer row by an older one.
     pub async fn run(mut self, stop: CancellationToken) {
-        let (mut changes, mut row_changes) = (self.target.subscribe(), self.members.subscribe());
+        let departures = self.departures.clone();
         tokio::select! {
             () = stop.cancelled() => return,
             () = self.load_initial_state() => {}
         }
+        tokio::join!(self.publish_row(stop.clone()), departures.run(stop.clone()));
+    }
+
+    async fn publish_row(mut self, stop: CancellationToken) {
+        let (mut changes, mut row_changes) = (self.target.subscribe(), self.members.subscribe());
         tokio::select! {
             () = stop.cancelled() => return,
             () = self.members.wait_loaded() => {}
         }
-        let mut stored_departure: Option<DepartedTarget> = None;
         loop {
             // Without a target the row stays as it is: it names the gate to query, and the gate
             // refuses.
@@ -127,16 +110,6 @@
                     () = self.delete_stale_rows(stale_rows) => {}
                 }
             }
-            let departed = self.target.departed();
-            // A target of the same incarnation that stays after all revokes its departure.
-            let is_revoked =
-                departed.is_none() && stored_departure.is_some() && self.target.current().is_some();
-            if is_revoked || (departed.is_some() && departed != stored_departure) {
-                tokio::select! {
-                    () = stop.cancelled() => return,
-                    () = self.store_departure(departed.as_ref()) => stored_departure = departed,
-                }
-            }
             tokio::select! {
                 () = stop.cancelled() => return,
                 changed = changes.changed() => if changed.is_err() { return },
@@ -158,11 +131,11 @@
                 Err(_) => self.create_row(member).await,
             };
             if is_written {
-                self.target.restore_departed(None);
+                self.departures.skip_load();
                 return;
             }
         }
-        self.load_departure().await;
+        self.departures.load().await;
     }
 
     fn record_own_row(&self, revision: Revision, member: RoutedMember) {
@@ -194,92 +167,6 @@
         }
     }
 
-    /// Reads whether the target announced to an earlier process of this daemon that it leaves.
-    ///
-    /// A target may announce that it leaves, its daemon restart, and a heartbeat from before the
-    /// announcement arrive late. Without the stored row the new process would send it requests
-    /// again. While the store is unavailable the target's own heartbeats have to do.
-    async fn load_departure(&self) {
-        // Only the own row: the table grows with all instances that ever left.
-        let row =
-            self.store.row(StorePurpose::DepartureRead, DEPARTURES_TABLE, &self.member.instance);
-        let row = match timeout(START_TIMEOUT, row).await {
-            Ok(Ok(row)) => row,
-            Ok(Err(error)) => {
-                self.events.write(|| DepartureNotRead { cause: error.to_string() });
-                None
-            }
-            Err(_) => {
-                self.events.write(|| DepartureNotRead {
-                    cause: "no response from the store in time".to_owned(),
-                });
-                None
-            }
-        };
-        let row = row.and_then(|row| row.value);
-        let row = row.and_then(|text| self.decode_departure_row(&text));
-        let departed =
-            row.map(|row| DepartedTarget { target: row.target, last_incarnation: row.last_life });
-        self.target.restore_departed(departed);
-    }
-
-    fn decode_departure_row(&self, text: &[u8]) -> Option<DepartureRow> {
-        match serde_json::from_slice(text) {
-            Ok(row) => Some(row),
-            Err(error) => {
-                self.events.write(|| DepartureNotRead { cause: error.to_string() });
-                None
-            }
-        }
-    }
-
-    /// Stores the departure of the target for a later process of this daemon; without one the row
-    /// is deleted.
-    async fn store_departure(&self, departed: Option<&DepartedTarget>) {
-        let row = departed.map(|departed| DepartureRow {
-            target: departed.target.clone(),
-            last_life: departed.last_incarnation,
-        });
-        let value = match row.as_ref().map(serde_json::to_vec).transpose() {
-            Ok(value) => value.map(Bytes::from),
-            Err(error) => {
-                self.events.write(|| DepartureNotStored { cause: error.to_string() });
-                return;
-            }
-        };
-        let mut expected_revision = 0;
-        let mut retry = RETRY_FIRST;
-        loop {
-            let write = FeedWrite {
-                table: DEPARTURES_TABLE,
-                key: self.member.instance.clone(),
-                expected_revision,
-                value: value.clone(),
-                absent_in: None,
-            };
-            match self.store.write(StorePurpose::DepartureWrite, &write).await {
-                Ok(revision) => {
-                    self.events.write(|| DepartureStored {
-                        target: row.as_ref().map(|row| row.target.clone()),
-                        life: row.as_ref().map(|row| row.last_life),
-                        revision,
-                    });
-                    return;
-                }
-                Err(FeedError::Conflict { current_revision })
-                    if current_revision != expected_revision =>
-                {
-                    expected_revision = current_revision;
-                }
-                Err(error) => {
-                    self.events.write(|| DepartureNotStored { cause: error.to_string() });
-                    sleep(jittered(retry)).await;
-                    retry = (retry * 2).min(RETRY_MAX);
-                }
-            }
-        }
-    }
-
     /// Deletes the rows of instances that had the address of this one before.
     async fn delete_stale_rows(&self, stale_rows: Vec<(InstanceId, Revision)>) {
         for (member, expected_revision) in stale_rows {
--- a/crates/yuccarackd/src/daemon/routed/sync.rs
+++ b/crates/yuccarackd/src/daemon/routed/sync.rs
@@ -10,6 +10,7 @@
 use crate::{
     coordination::routed::{
         catch_up::CatchUp,
+        departure_store::DepartureStore,
         peers::{Peers, PeersParts},
         registrar::{Registrar, RegistrarParts},
         relay_follower::{RelayFollower, RelayFollowerParts},
@@ -219,8 +220,15 @@
         known_relays: KnownRelays,
     ) -> RowPublisher {
         let settings = self.settings.current();
+        let departures = DepartureStore::new(
+            store.clone(),
+            settings.instance.clone(),
+            self.target.clone(),
+            self.events.clone(),
+        );
         RowPublisher {
             store,
+            departures,
             member: RoutedMember {
                 instance: settings.instance.clone(),
                 failure_domain: settings.failure_domain.clone(),
--- a/crates/yuccarackd/src/state/routed/mod.rs
+++ b/crates/yuccarackd/src/state/routed/mod.rs
@@ -5,6 +5,7 @@
 //! has rules of its own; see [`super::directory`].
 
 pub mod boot_clock;
+pub mod departures;
 pub mod evacuations;
 pub mod known_relays;
 pub mod live_settings;
--- a/crates/yuccarackd/tests/routed/leaving.rs
+++ b/crates/yuccarackd/tests/routed/leaving.rs
@@ -126,6 +126,67 @@
     assert_eq!(reads_at_first(&deployment, "a", 20).await, 0);
 }
 
+/// Guards against a target that leaves before its first heartbeat and becomes ready by that heartbeat,
+/// which is late, whether or not its daemon restarts before or after the leave.
+#[tokio::test]
+async fn a_target_that_left_before_its_first_heartbeat_receives_no_requests() {
+    for (name, restarts_before, restarts_after) in
+        [("never", false, false), ("after", false, true), ("both", true, true)]
+    {
+        let mut deployment = deployed(&format!("left-early-{name}"), &["board", "board"]).await;
+        deployment.instances[0].stop_heartbeats();
+        let restart = async |deployment: &mut Deployment| {
+            deployment.instances[0].kill_daemon();
+            deployment.instances[0].start_daemon().await.expect("a daemon");
+            wait_until("the daemon to be ready", || deployment.instances[0].is_ready()).await;
+        };
+        if restarts_before {
+            restart(&mut deployment).await;
+        }
+        let status = deployment.instances[0].send_leave_of_later_process().await;
+        assert_eq!(status, Some(StatusCode::OK));
+        if restarts_after {
+            restart(&mut deployment).await;
+        }
+        deployment.instances[0].send_heartbeat_of_later_process().await;
+        assert_eq!(reads_at_first(&deployment, "a", 20).await, 0, "{name}");
+    }
+}
+
+/// Guards against a leave that is confirmed and then forgotten by a restart, as the store didn't have
+/// it. It takes effect all the same.
+#[tokio::test]
+async fn a_leave_is_confirmed_once_the_store_has_it() {
+    let mut deployment = deployed("unconfirmed", &["board", "board"]).await;
+    deployment.instances[0].store_server.set_mode(StoreServerMode::Unresponsive);
+    let status = deployment.instances[0].send_leave().await;
+    assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert_eq!(reads_at_first(&deployment, "a", 20).await, 0);
+    deployment.instances[0].store_server.set_mode(StoreServerMode::Serving);
+    for _ in 0..10 {
+        if deployment.instances[0].send_leave().await == Some(StatusCode::OK) {
+            assert!(deployment.store.has_row("leaving", "n0"));
+            return;
+        }
+    }
+    panic!("the leave was not confirmed");
+}
+
+/// Guards against a late heartbeat that makes a target ready which left before its daemon restarted,
+/// while the store doesn't respond to the daemon.
+#[tokio::test]
+async fn a_daemon_that_restarts_without_the_store_accepts_no_late_heartbeat() {
+    let mut deployment = deployed("left-no-store", &["board", "board"]).await;
+    assert_eq!(deployment.instances[0].send_leave().await, Some(StatusCode::OK));
+    deployment.instances[0].store_server.set_mode(StoreServerMode::Unresponsive);
+    deployment.instances[0].kill_daemon();
+    deployment.instances[0].start_daemon().await.expect("a daemon");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let status = deployment.instances[0].resend_older_heartbeat("ready").await;
+    assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert_eq!(crowd_at_first(&deployment, "a").await, 0);
+}
+
 /// Guards against a gate that stays closed when a draining target of the same process reports that
 /// it is ready again.
 #[tokio::test]
--- a/crates/yuccarackd/tests/routed_target.rs
+++ b/crates/yuccarackd/tests/routed_target.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use yuccarack_config::heartbeat::{Heartbeat, Leave, TargetPhase};
-use yuccarackd::state::routed::target::{DepartedTarget, HeartbeatEffect, RoutedTarget};
+use yuccarackd::state::routed::{
+    departures::Departure,
+    target::{DepartedTarget, HeartbeatEffect, RoutedTarget},
+};
 
 fn heartbeat(life: u64, sequence: u64) -> Heartbeat {
     Heartbeat {
@@ -145,3 +148,58 @@
     let departed = DepartedTarget { target: "i-1".to_owned(), last_incarnation: 401 };
     assert_eq!(target.departed(), Some(departed));
 }
+
+/// Guards against a leave notice of a process that has sent no heartbeat yet, after another process
+/// was known: it was dropped, and a late heartbeat made the process ready.
+#[test]
+fn a_leave_notice_counts_before_the_first_heartbeat_of_its_process() {
+    let (start, target) = (Instant::now(), restored());
+    for id in ["i-1", "i-2"] {
+        let later = |heartbeat| Heartbeat { target: id.to_owned(), ..heartbeat };
+        target.apply_heartbeat(start, heartbeat(10, 1));
+        target.apply_leave(0, &Leave { target: id.to_owned(), life: Some(20) });
+        assert_eq!(target.current(), None, "the earlier process has ended");
+        let effect = target.apply_heartbeat(after(start, 4_000), later(heartbeat(20, 1)));
+        assert_eq!(effect, HeartbeatEffect::Older);
+        assert_eq!(target.current(), None);
+        let effect = target.apply_heartbeat(after(start, 4_100), heartbeat(10, 2));
+        assert_eq!(effect, HeartbeatEffect::OlderLife, "a late heartbeat of the earlier process");
+        let effect = target.apply_heartbeat(after(start, 4_200), later(heartbeat(30, 1)));
+        assert_eq!(effect, HeartbeatEffect::NewLife);
+        target.apply_leave(0, &Leave { target: id.to_owned(), life: Some(30) });
+    }
+}
+
+/// Guards against a process that is kept out after another one left, because the machine's clock was
+/// set back in between.
+#[test]
+fn the_next_process_is_accepted_at_once_though_the_clock_was_set_back() {
+    let (start, target) = (Instant::now(), restored());
+    target.apply_heartbeat(start, heartbeat(700_000, 8));
+    target.apply_leave(0, &Leave { target: "i-1".to_owned(), life: Some(700_000) });
+    let effect = target.apply_heartbeat(after(start, 100), heartbeat(100_000, 1));
+    assert_eq!(effect, HeartbeatEffect::NewLife);
+    let restarted = RoutedTarget::new();
+    restarted.restore_departures(target.departures());
+    let effect = restarted.apply_heartbeat(after(start, 200), heartbeat(100_000, 2));
+    assert_eq!(effect, HeartbeatEffect::NewLife);
+    let effect = restarted.apply_heartbeat(after(start, 300), heartbeat(700_000, 9));
+    assert_eq!(effect, HeartbeatEffect::OlderLife);
+}
+
+/// Guards against a late heartbeat that makes a target ready which left before its daemon restarted,
+/// while the store with its departure doesn't respond.
+#[test]
+fn without_the_stored_departures_a_process_has_to_keep_sending_heartbeats() {
+    let (start, target) = (Instant::now(), RoutedTarget::new());
+    target.accept_without_departures();
+    assert_eq!(target.apply_heartbeat(start, heartbeat(10, 3)), HeartbeatEffect::TooSoon);
+    let again = target.apply_heartbeat(after(start, 1_500), heartbeat(10, 3));
+    assert_eq!(again, HeartbeatEffect::TooSoon);
+    let newer = target.apply_heartbeat(after(start, 1_600), heartbeat(10, 4));
+    assert_eq!(newer, HeartbeatEffect::NewLife);
+    target.restore_departures(vec![Departure::of_process("i-1".to_owned(), 10)]);
+    assert_eq!(target.current(), None);
+    let effect = target.apply_heartbeat(after(start, 3_000), heartbeat(10, 5));
+    assert_eq!(effect, HeartbeatEffect::Older);
+}
