Cut off bytes without an end from targets, the store and peers

Seen by callers: a target whose response body has no end holds its slot, and a caller that reads it, for as long as it sends (the test's caller still read after 13 s, with a deadline of 1 s). A store that sends a body without an end filled the daemon's memory: 3.1 GiB in 8 s. No log line named either.

Cause: a response above 256 KiB is streamed, and its body had no bound. Bodies of the store and of peers were read as long as they made progress. A head without an end was bounded already (hyper, 400 KiB), as were health checks (4 KiB, 40 ms), heartbeats (64 KiB, 1 s), registrations, quota reports, relay lines (16 MiB) and heads of callers; the tests show it for targets and callers.

Change: a streamed response ends 10 s after the deadline of its request at the latest, since a caller may still read one that is late. Bodies of the store and of peers end at 16 MiB. The log line target_response_rejected names a target whose bytes are no response or have no end, also in a health check.

--- a/crates/yuccarack_platform/src/accept.rs
+++ b/crates/yuccarack_platform/src/accept.rs
@@ -140,6 +140,7 @@
         | PlatformError::Unreachable
         | PlatformError::UnknownOutcome
         | PlatformError::Stalled { .. }
+        | PlatformError::TooLong
         | PlatformError::Malformed(_) => false,
     }
 }
--- a/crates/yuccarack_platform/src/client.rs
+++ b/crates/yuccarack_platform/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -18,7 +18,7 @@
     escape::percent_encode,
     feed::FeedRequest,
     messages::{Commit, CommitResponse, ConflictResponse, Row, Rows},
-    transfer::{TransferError, read_full},
+    transfer::{BODY_MAX_BYTES, TransferError, read_full},
 };
 
 /// Maximum number of pooled idle connections to the platform.
@@ -181,6 +181,7 @@
                 TransferError::Stalled { received_bytes } => {
                     PlatformError::Stalled { received_bytes }
                 }
+                TransferError::TooLong => PlatformError::TooLong,
             })?;
         Ok((status, body))
     }
@@ -239,9 +240,8 @@
     ) -> Result<(StatusCode, Bytes), PlatformError> {
         let response = self.send(request).await?;
         let status = response.status();
-        let body =
-            response.into_body().collect().await.map_err(|_| PlatformError::UnknownOutcome)?;
-        Ok((status, body.to_bytes()))
+        let body = Limited::new(response.into_body(), BODY_MAX_BYTES).collect().await;
+        Ok((status, body.map_err(|_| PlatformError::UnknownOutcome)?.to_bytes()))
     }
 }
 
--- a/crates/yuccarack_platform/src/errors.rs
+++ b/crates/yuccarack_platform/src/errors.rs
@@ -31,6 +31,9 @@
         /// Number of bytes of the body that had arrived.
         received_bytes: usize,
     },
+    /// The response exceeds the longest body that is read; a write may have taken effect.
+    #[error("the response of the platform is too long")]
+    TooLong,
     /// The response does not have the expected form; a write may have taken effect.
     #[error("malformed response from the platform")]
     Malformed(#[source] serde_json::Error),
@@ -47,7 +50,9 @@
             | Self::Refused { .. }
             | Self::Unreachable
             | Self::Unserializable(_) => true,
-            Self::UnknownOutcome | Self::Stalled { .. } | Self::Malformed(_) => false,
+            Self::UnknownOutcome | Self::Stalled { .. } | Self::TooLong | Self::Malformed(_) => {
+                false
+            }
         }
     }
 }
--- a/crates/yuccarack_platform/src/transfer.rs
+++ b/crates/yuccarack_platform/src/transfer.rs
@@ -14,6 +14,10 @@
 /// Minimum number of bytes that must arrive in each [`PROGRESS_INTERVAL`] until the body ends.
 pub const PROGRESS_MIN_BYTES: usize = 16 * 1024;
 
+/// Longest body that is read; several may be read at the same time. A table of 12,000 routes takes about
+/// 5 MB.
+pub const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
+
 /// Error of reading a body.
 #[derive(Debug, Error)]
 pub enum TransferError<E> {
@@ -26,6 +30,9 @@
         /// Number of bytes that had arrived.
         received_bytes: usize,
     },
+    /// The body exceeds [`BODY_MAX_BYTES`].
+    #[error("the body exceeds {BODY_MAX_BYTES} bytes")]
+    TooLong,
 }
 
 /// Reads `body` to its end; `on_bytes` gets the length of each part as it arrives.
@@ -35,7 +42,7 @@
 ///
 /// # Errors
 ///
-/// [`TransferError`] if the body is interrupted or stalls.
+/// [`TransferError`] if the body is interrupted, stalls or is too long.
 pub async fn read_full<B>(
     mut body: B,
     mut on_bytes: impl FnMut(usize),
@@ -51,6 +58,9 @@
             Ok(None) => return Ok(received.freeze()),
             Ok(Some(frame)) => {
                 if let Ok(data) = frame.map_err(TransferError::Interrupted)?.into_data() {
+                    if received.len() + data.len() > BODY_MAX_BYTES {
+                        return Err(TransferError::TooLong);
+                    }
                     on_bytes(data.len());
                     received.extend_from_slice(&data);
                 }
--- a/crates/yuccarack_platform/tests/transfer.rs
+++ b/crates/yuccarack_platform/tests/transfer.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 use yuccarack_platform::{
     PlatformClient,
-    transfer::{PROGRESS_INTERVAL, PROGRESS_MIN_BYTES, TransferError, read_full},
+    transfer::{BODY_MAX_BYTES, PROGRESS_INTERVAL, PROGRESS_MIN_BYTES, TransferError, read_full},
 };
 use yuccarack_standins::server::{ConnectionAborted, Server, listen};
 
@@ -109,3 +109,13 @@
     assert_eq!(object.len(), 64 * 1024);
     server.crash().await;
 }
+
+/// Guards against a body without an end, which would use up the memory as long as it makes progress.
+#[tokio::test(start_paused = true)]
+async fn a_body_without_end_is_aborted() {
+    let mut counted_bytes = 0;
+    let endless_body = body(usize::MAX, 64 * 1024, Duration::from_millis(1));
+    let read = read_full(endless_body, |bytes| counted_bytes += bytes).await;
+    assert!(matches!(read, Err(TransferError::TooLong)), "{read:?}");
+    assert_eq!(counted_bytes, BODY_MAX_BYTES);
+}
--- a/crates/yuccarackctl/src/errors.rs
+++ b/crates/yuccarackctl/src/errors.rs
@@ -215,7 +215,8 @@
     match error {
         PlatformError::Unreachable
         | PlatformError::UnknownOutcome
-        | PlatformError::Stalled { .. } => ExitStatus::PlatformUnavailable,
+        | PlatformError::Stalled { .. }
+        | PlatformError::TooLong => ExitStatus::PlatformUnavailable,
         PlatformError::Refused { status } if *status >= 500 => ExitStatus::PlatformUnavailable,
         PlatformError::Conflict { .. } => ExitStatus::Conflict,
         PlatformError::Refused { .. }
--- a/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
@@ -1,6 +1,9 @@
 //! Sends one admitted request to the target and reads the response.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
@@ -10,8 +13,10 @@
 
 use super::{ActiveTarget, Gate, GateRequest, is_encoded, work_slots::SlotLease};
 use crate::{
+    coordination::routed::log_lines::TargetResponseRejected,
     protocol::{
-        body::{BodyStart, CallBody},
+        body::{BodyError, BodyStart, CallBody},
+        body_until::BodyUntil,
         forwarding,
         refusal::{Outcome, Reason, Refusal},
     },
@@ -22,6 +27,10 @@
 /// off is reported as broken and isn't forwarded in part. A larger one is streamed.
 const BUFFERED_RESPONSE_MAX_BYTES: usize = 256 * 1024;
 
+/// Time after the deadline of its request for which a response may still be streamed. Its caller may
+/// read it to the end though it is late, but a response without an end must not hold its slot.
+const STREAMED_LATE_MAX: Duration = Duration::from_secs(10);
+
 /// Exchange of one request that holds a slot of its target.
 pub struct Exchange<'a> {
     /// Gate that admitted the request.
@@ -63,7 +72,8 @@
             return Err(Refusal::not_run(Reason::Shed).with_retry_after(retry_after));
         }
         check_response(request, &response)?;
-        match timeout_at(deadline.into(), self.read_response(response)).await {
+        let streamed_until = deadline + STREAMED_LATE_MAX;
+        match timeout_at(deadline.into(), self.read_response(response, streamed_until)).await {
             Ok(response) => response,
             Err(_) => Err(Refusal::unknown(Reason::DeadlinePassed)),
         }
@@ -94,8 +104,11 @@
         if error.is_unreachable() {
             self.gate.mark_unreachable(self.active);
         }
-        if matches!(error, SendError::Broken(_)) {
+        if let SendError::Broken(source) = error {
             self.active.idle_drops.record_broken(Instant::now());
+            if source.is_parse() {
+                self.gate.log_rejected_response(self.active, "request", source);
+            }
         }
         let (reason, outcome) = match error {
             SendError::Unreachable { .. } => (Reason::Unreachable, Outcome::NotRun),
@@ -113,10 +126,12 @@
         }
     }
 
-    /// Buffers a short response in full; a long one is streamed and holds the slot until its end.
+    /// Buffers a short response in full; a long one is streamed and holds the slot until its end, at
+    /// most until `streamed_until`.
     async fn read_response(
         self,
         response: Response<CallBody>,
+        streamed_until: Instant,
     ) -> Result<Response<CallBody>, Refusal> {
         let (mut parts, body) = response.into_parts();
         forwarding::strip_hop_by_hop(&mut parts.headers);
@@ -129,7 +144,16 @@
             return Ok(Response::from_parts(parts, buffered.into_body()));
         }
         let lease = self.lease;
-        let streamed = buffered.into_body().map_frame(move |frame| {
+        let bounded = BodyUntil::new(buffered.into_body(), streamed_until);
+        let (events, target) = (self.gate.parts.events.clone(), self.active.view.target.clone());
+        let logged = bounded.map_err(move |error| {
+            if matches!(error, BodyError::DeadlinePassed) {
+                let (target, cause) = (target.clone(), error.to_string());
+                events.write(|| TargetResponseRejected { target, of: "request", cause });
+            }
+            error
+        });
+        let streamed = logged.map_frame(move |frame| {
             let _lease = &lease;
             frame
         });
--- a/crates/yuccarackd/src/coordination/routed/gate/health_checks.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/health_checks.rs
@@ -20,8 +20,8 @@
 
 use super::{ActiveTarget, Gate};
 use crate::{
-    protocol::body::{self, BodyStart},
-    transport::upstream::Freshness,
+    protocol::body::{self, BodyError, BodyStart},
+    transport::{connection::SendError, upstream::Freshness},
 };
 
 /// Most bytes of a health check response that are read.
@@ -167,8 +167,15 @@
     let (address, sent_at) = (active.view.address, Instant::now());
     let host = HeaderValue::from_str(&address.to_string()).ok()?;
     let request = Request::get(path).header(header::HOST, host).body(body::empty()).ok()?;
-    let response =
-        gate.health_check_upstream.send(address, request, Freshness::Pooled).await.ok()?;
+    let sent = gate.health_check_upstream.send(address, request, Freshness::Pooled).await;
+    let log_rejected =
+        |cause: &dyn std::error::Error| gate.log_rejected_response(active, "health_check", cause);
+    let response = sent
+        .inspect_err(|error| match error {
+            SendError::Broken(source) if source.is_parse() => log_rejected(source),
+            _ => {}
+        })
+        .ok()?;
     // After a restart another target may listen on the address.
     let is_own = response.headers().get(headers::TARGET)? == active.view.target.as_str();
     if is_own {
@@ -178,6 +185,10 @@
     let slowdown_percent = load::decode(response.headers()).and_then(|load| load.pace_percent);
     let cold_for = load::decode_cold_for(response.headers());
     // The body is read to its end so that the connection can be used again.
-    BodyStart::read(response.into_body(), RESPONSE_MAX_BYTES).await.ok()?;
+    let body = BodyStart::read(response.into_body(), RESPONSE_MAX_BYTES).await.ok()?;
+    if body.rest.is_some() {
+        log_rejected(&BodyError::TooLong);
+        return None;
+    }
     is_own.then_some(HealthReport { slowdown_percent, cold_for })
 }
--- a/crates/yuccarackd/src/coordination/routed/gate/mod.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/mod.rs
@@ -38,7 +38,11 @@
     exchange::Exchange, idle_drop_tracker::IdleDropTracker, shed::ShedTracker,
     work_slots::WorkSlots,
 };
-use super::{events::EventLog, log_lines::GateRefused, return_margin::return_margin};
+use super::{
+    events::EventLog,
+    log_lines::{GateRefused, TargetResponseRejected},
+    return_margin::return_margin,
+};
 use crate::{
     protocol::{
         body::CallBody,
@@ -249,6 +253,19 @@
         active.slots.change(|queue, _| queue.set_refuses_behind_overdue(is_used));
     }
 
+    /// Logs that bytes of the target are no response. `of` is what was requested.
+    fn log_rejected_response(
+        &self,
+        active: &ActiveTarget,
+        of: &'static str,
+        cause: &dyn std::error::Error,
+    ) {
+        self.parts.events.write(|| {
+            let (target, cause) = (active.view.target.clone(), cause.to_string());
+            TargetResponseRejected { target, of, cause }
+        });
+    }
+
     fn log_refusal(&self, request: &GateRequest, refusal: &Refusal) {
         self.parts.counters.add_reason(REFUSED, refusal.reason.as_str());
         self.parts.events.write(|| {
--- a/crates/yuccarackd/src/coordination/routed/log_lines/targets.rs
+++ b/crates/yuccarackd/src/coordination/routed/log_lines/targets.rs
@@ -79,6 +79,18 @@
         limit_per_1000_s: Option<u32>,
     }
 
+    /// Bytes of the target are no response, or a response without an end.
+    TargetResponseRejected = "target_response_rejected", "response of the target rejected", Warning,
+        Some(EventKind::GateRefused);
+    {
+        /// Name of the target.
+        target: String,
+        /// What was requested: `request` or `health_check`.
+        of: &'static str,
+        /// Why the response is rejected.
+        cause: String,
+    }
+
     /// A target is ready and receives requests.
     TargetAdmitted = "target_taken_in", "target admitted", Info, None;
     {
--- a/crates/yuccarackd/src/coordination/table.rs
+++ b/crates/yuccarackd/src/coordination/table.rs
@@ -174,7 +174,9 @@
         PlatformError::Conflict { .. } => "conflict",
         PlatformError::Refused { .. } => "refused",
         PlatformError::Unreachable => "unreachable",
-        PlatformError::UnknownOutcome | PlatformError::Stalled { .. } => "no_answer",
+        PlatformError::UnknownOutcome | PlatformError::Stalled { .. } | PlatformError::TooLong => {
+            "no_answer"
+        }
         PlatformError::Malformed(_) => "malformed",
         PlatformError::Unserializable(_) => "unwritable",
     }
--- a/crates/yuccarackd/src/protocol/mod.rs
+++ b/crates/yuccarackd/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod announce;
 pub mod body;
+pub mod body_until;
 pub mod call;
 pub mod control;
 pub mod forwarding;
--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod crashing;
 mod drains;
+mod endless;
 mod evacuation;
 mod explained;
 mod homes;
