Let twelve polls of a deployment be due in turn, the others wait as before

Cause: each of 50 polls ended with its slot after each change, half an interval earlier on average, although a response every 2.1 s is enough to notice a lost poll.

Change: at most twelve polls, spread over the deployment, are due in turn; the others wait 25 s and are warned by these. A warning goes to up to 64 relays, so that in 24 failure domains all are reached.

--- a/crates/yuccarack_policy/src/change_polls.rs
+++ b/crates/yuccarack_policy/src/change_polls.rs
@@ -48,17 +48,33 @@
 /// Time after a warning in which further ones have no effect.
 const WARNING_PERIOD: Duration = Duration::from_secs(5);
 
+/// Most polls of a deployment that are due in turn; their responses are due every 2.1 s.
+const SLOTS_MAX: u32 = 12;
+
 /// Place of a poll among all polls of a deployment that are due in turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PollSlot {
     index: u32,
     count: u32,
+    /// Whether the poll ends with its slot; otherwise it waits as long as possible.
+    is_due_in_turn: bool,
 }
 
 impl PollSlot {
     /// Creates the slot of the poll with `index` among `count` polls.
+    ///
+    /// In a large deployment some polls are due in turn, and the others are warned by these. A poll
+    /// that ends with its slot is shorter, so each of them costs a request after each change.
     pub fn new(index: u32, count: u32) -> Self {
-        Self { index, count: count.max(1) }
+        let count = count.max(1);
+        if count <= SLOTS_MAX {
+            return Self { index, count, is_due_in_turn: true };
+        }
+        let slot_of = |index: u32| u64::from(index) * u64::from(SLOTS_MAX) / u64::from(count);
+        let slot = slot_of(index);
+        let is_due_in_turn = index == 0 || slot_of(index - 1) < slot;
+        let index = u32::try_from(slot).unwrap_or(0);
+        Self { index, count: SLOTS_MAX, is_due_in_turn }
     }
 
     /// Returns the longest wait of a poll.
@@ -72,6 +88,9 @@
 
     /// Returns the time from `store_time`, on the store's clock, to the next end of this slot.
     fn time_left(&self, store_time: Duration) -> Duration {
+        if !self.is_due_in_turn {
+            return self.wait_max();
+        }
         let interval_ms = self.wait_max().as_millis().max(1);
         let offset_ms = interval_ms * u128::from(self.index) / u128::from(self.count);
         let passed_ms =
--- a/crates/yuccarackd/src/coordination/routed/peers/store_warnings.rs
+++ b/crates/yuccarackd/src/coordination/routed/peers/store_warnings.rs
@@ -16,8 +16,8 @@
     transport::upstream::Freshness,
 };
 
-/// Most relays that a daemon warns. The polls of the others are due soon in a large deployment.
-const WARNED_MAX: usize = 8;
+/// Most relays that a daemon warns; two in each of 24 failure domains poll the store.
+const WARNED_MAX: usize = 64;
 
 impl Peers {
     /// Sends each warning that this daemon raises to relays that poll the store.
