--- a/crates/yuccarackd/src/coordination/routed/departure_store.rs
+++ b/crates/yuccarackd/src/coordination/routed/departure_store.rs
@@ -125,7 +125,7 @@
     }
 
     async fn read(&self) -> Result<(), FeedError> {
-        // Only the own row: the table grows with all instances that ever left.
+        // Reads one row, as the table has one for each instance whose target ever left.
         let purpose = StorePurpose::DepartureRead;
         let row = self.store.row(purpose, DEPARTURES_TABLE, &self.instance).await?;
         *self.revision.lock() = Some(row.as_ref().map_or(0, |row| row.revision));
--- a/crates/yuccarackd/tests/departures.rs
+++ b/crates/yuccarackd/tests/departures.rs
@@ -122,7 +122,7 @@
     QuickCheck::new().tests(20_000).quickcheck(holds as fn(Vec<Event>) -> bool);
 }
 
-/// Guards against a process that is kept out because others have left: whatever came before, it is
+/// Guards against a process that is rejected because others have left: whatever came before, it is
 /// accepted at its first heartbeat after the process before it left.
 #[test]
 fn the_next_process_is_accepted_at_its_first_heartbeat() {
--- a/crates/yuccarackd/tests/routed_target.rs
+++ b/crates/yuccarackd/tests/routed_target.rs
@@ -170,7 +170,7 @@
     }
 }
 
-/// Guards against a process that is kept out after another one left, because the machine's clock was
+/// Guards against a process that is rejected after another one left, because the machine's clock was
 /// set back in between.
 #[test]
 fn the_next_process_is_accepted_at_once_though_the_clock_was_set_back() {
