Review scripts: pick distinct ports and remove the temporary folder

Six ports were probed one after the other and could be the same. The folder of settings and logs is removed at the end unless KEEP_LOGS is set.

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -487,8 +488,9 @@
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="yuccarack-review-")
         self.block = 20 + os.getpid() % 200, os.getpid() // 200 % 250
-        self.ports = {name: self.free_port() for name in
-                      ("outbound", "inbound", "ready", "control", "application", "store")}
+        self.ports = dict(zip(
+            ("outbound", "inbound", "ready", "control", "application", "store"),
+            self.free_ports(6)))
         self.store = Store((self.ip(250), self.ports["store"]))
         self.machines = [Machine(self, number, service, ZONES[number % len(ZONES)],
                                  backend_options)
@@ -498,10 +500,16 @@
     def ip(self, host):
         return f"127.{self.block[0]}.{self.block[1]}.{host}"
 
-    def free_port(self):
-        with socket.socket() as probe:
-            probe.bind((self.ip(1), 0))
-            return probe.getsockname()[1]
+    def free_ports(self, count):
+        """Returns ports that are free; the addresses are this process's own by its id."""
+        probes = [socket.socket() for _ in range(count)]
+        try:
+            for probe in probes:
+                probe.bind((self.ip(1), 0))
+            return [probe.getsockname()[1] for probe in probes]
+        finally:
+            for probe in probes:
+                probe.close()
 
     async def start(self, routes):
         await self.store.start()
@@ -541,6 +549,8 @@
         for machine in self.machines:
             machine.end()
             await machine.backend.close()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(name, host, prefix, kind, service, timeout_ms, target_latency_ms, attempts=2, priority=1):
