Reject responses whose head declares their length wrongly

Callers saw a status 200 with the signature of the target and a body that was not the target's: the framing of chunks as a part of it, or encoded bytes without the field that names the coding. With a transfer coding beside a smaller content length the head said 3 bytes and the whole page followed: the next response on the connection began in the middle of a body.

Cause: the HTTP library reads a body whose transfer coding isn't `chunked` to the end of the connection, ignores a content length beside chunks, and checks neither for status 204 and 304. The gate then removed `Transfer-Encoding`, which applies to one connection only, and forwarded what was left.

Ruled out: the parser of heads.

Change: `check_response_head` checks the framing by RFC 9112, section 6, in `Connection::send`, where every head from a target, a gate, a peer, a relay and a health check comes in, before anything is removed from it. Such a response fails the request as broken with an unknown outcome, its connection is closed, and `target_response_rejected` names the target and the cause.

--- a/crates/yuccarack_platform/src/lib.rs
+++ b/crates/yuccarack_platform/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod feed;
 pub mod hex_id;
 pub mod messages;
+pub mod response_head;
 pub mod rows;
 pub mod transfer;
 
--- /dev/null
+++ b/crates/yuccarack_platform/src/response_head.rs
@@ -0,0 +1,79 @@
+//! Checks the framing of HTTP responses (RFC 9112, section 6.3) beyond what the HTTP library does.
+
+use http::{HeaderMap, Response, StatusCode, Version, header};
+use thiserror::Error;
+
+/// Why a response head is malformed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum ResponseHeadError {
+    /// The transfer coding is not `chunked` alone, which is the only one that requests accept.
+    #[error("the transfer coding of the response is not chunked")]
+    TransferCoding,
+    /// `Transfer-Encoding` is not allowed in HTTP/1.0 and with status 204.
+    #[error("the response must not have a transfer coding")]
+    UnexpectedTransferCoding,
+    /// The response has both `Transfer-Encoding` and `Content-Length`.
+    #[error("the response declares both a transfer coding and a content length")]
+    ConflictingLengths,
+    /// There are several values of `Content-Length`, or one that is no number.
+    #[error("the content length of the response is not a single number")]
+    ContentLength,
+    /// A response with status 204 declares content.
+    #[error("the response declares content, but its status excludes content")]
+    UnexpectedContent,
+}
+
+/// Checks that the head of `response` declares the length of its body correctly.
+///
+/// The HTTP library reads a body with an unknown transfer coding to the end of the connection, and
+/// ignores a content length beside chunks. Its content would be forwarded with the framing in it, or
+/// with a length that it doesn't have.
+///
+/// # Errors
+///
+/// [`ResponseHeadError`]; the body must not be used.
+pub fn check_response_head<B>(response: &Response<B>) -> Result<(), ResponseHeadError> {
+    let headers = response.headers();
+    let content_length = content_length(headers)?;
+    let excludes_content = response.status() == StatusCode::NO_CONTENT;
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        if content_length.is_some() {
+            return Err(ResponseHeadError::ConflictingLengths);
+        }
+        if excludes_content || response.version() < Version::HTTP_11 {
+            return Err(ResponseHeadError::UnexpectedTransferCoding);
+        }
+        return check_transfer_coding(headers);
+    }
+    match content_length {
+        Some(1..) if excludes_content => Err(ResponseHeadError::UnexpectedContent),
+        _ => Ok(()),
+    }
+}
+
+fn check_transfer_coding(headers: &HeaderMap) -> Result<(), ResponseHeadError> {
+    match single_value(headers, &header::TRANSFER_ENCODING) {
+        Some(value) if value.eq_ignore_ascii_case("chunked") => Ok(()),
+        _ => Err(ResponseHeadError::TransferCoding),
+    }
+}
+
+fn content_length(headers: &HeaderMap) -> Result<Option<u64>, ResponseHeadError> {
+    if !headers.contains_key(header::CONTENT_LENGTH) {
+        return Ok(None);
+    }
+    let value = single_value(headers, &header::CONTENT_LENGTH);
+    // `u64` would also parse a leading plus sign.
+    let digits = value.filter(|value| value.bytes().all(|byte| byte.is_ascii_digit()));
+    let length = digits.and_then(|digits| digits.parse().ok());
+    length.map(Some).ok_or(ResponseHeadError::ContentLength)
+}
+
+/// Returns the value of `name`; `None` if there are several header lines or it isn't visible ASCII.
+fn single_value<'a>(headers: &'a HeaderMap, name: &header::HeaderName) -> Option<&'a str> {
+    let mut values = headers.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (Some(value), None) => value.to_str().ok(),
+        _ => None,
+    }
+}
--- a/crates/yuccarackd/src/coordination/routed/entry/attempts.rs
+++ b/crates/yuccarackd/src/coordination/routed/entry/attempts.rs
@@ -358,7 +358,7 @@
     match error {
         SendError::Unreachable { .. } => Refusal::not_run(Reason::NoConnection),
         SendError::NothingSent => Refusal::not_run(Reason::Broken),
-        SendError::Broken(_) => Refusal::unknown(Reason::Broken),
+        SendError::Broken(_) | SendError::Malformed(_) => Refusal::unknown(Reason::Broken),
     }
 }
 
--- a/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
@@ -104,16 +104,16 @@
         if error.is_unreachable() {
             self.gate.mark_unreachable(self.active);
         }
-        if let SendError::Broken(source) = error {
+        if let SendError::Broken(_) = error {
             self.active.idle_drops.record_broken(Instant::now());
-            if source.is_parse() {
-                self.gate.log_rejected_response(self.active, "request", source);
-            }
+        }
+        if let Some(cause) = error.malformed_head() {
+            self.gate.log_rejected_response(self.active, "request", cause);
         }
         let (reason, outcome) = match error {
             SendError::Unreachable { .. } => (Reason::Unreachable, Outcome::NotRun),
             SendError::NothingSent => (Reason::Broken, Outcome::NotRun),
-            SendError::Broken(_) => (Reason::Broken, Outcome::Unknown),
+            SendError::Broken(_) | SendError::Malformed(_) => (Reason::Broken, Outcome::Unknown),
         };
         Refusal { reason, outcome, retry_after: None }
     }
--- a/crates/yuccarackd/src/coordination/routed/gate/health_checks.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/health_checks.rs
@@ -21,7 +21,7 @@
 use super::{ActiveTarget, Gate};
 use crate::{
     protocol::body::{self, BodyError, BodyStart},
-    transport::{connection::SendError, upstream::Freshness},
+    transport::upstream::Freshness,
 };
 
 /// Most bytes of a health check response that are read.
@@ -171,9 +171,10 @@
     let log_rejected =
         |cause: &dyn std::error::Error| gate.log_rejected_response(active, "health_check", cause);
     let response = sent
-        .inspect_err(|error| match error {
-            SendError::Broken(source) if source.is_parse() => log_rejected(source),
-            _ => {}
+        .inspect_err(|error| {
+            if let Some(cause) = error.malformed_head() {
+                log_rejected(cause);
+            }
         })
         .ok()?;
     // After a restart another target may listen on the address.
--- a/crates/yuccarackd/src/transport/connection.rs
+++ b/crates/yuccarackd/src/transport/connection.rs
@@ -17,6 +17,7 @@
 use thiserror::Error;
 use tokio::{net::TcpStream, time::timeout};
 use tokio_util::task::TaskTracker;
+use yuccarack_platform::response_head::{ResponseHeadError, check_response_head};
 
 use super::counted_stream::{CountedStream, SentBytes};
 use crate::protocol::body::CallBody;
@@ -73,6 +74,9 @@
     /// The connection failed after at least a part of the request was sent.
     #[error("connection failed after at least a part of the request was sent")]
     Broken(#[source] hyper::Error),
+    /// The response to the request has a malformed head.
+    #[error("malformed response head")]
+    Malformed(#[source] ResponseHeadError),
 }
 
 impl SendError {
@@ -81,6 +85,15 @@
         matches!(self, Self::Unreachable { .. } | Self::NothingSent)
     }
 
+    /// Returns why the head of the response is malformed, if that is the error.
+    pub fn malformed_head(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Broken(source) if source.is_parse() => Some(source),
+            Self::Malformed(source) => Some(source),
+            Self::Unreachable { .. } | Self::NothingSent | Self::Broken(_) => None,
+        }
+    }
+
     /// Returns whether the connection could not be established.
     pub fn is_unreachable(&self) -> bool {
         matches!(self, Self::Unreachable { .. })
@@ -146,25 +159,28 @@
 
     /// Sends one request and waits for the head of its response.
     ///
-    /// Dropping the future abandons the request; the connection must then be dropped as well.
+    /// Dropping the future abandons the request; the connection must then be dropped as well, also
+    /// after an error.
     ///
     /// # Errors
     ///
     /// [`SendError::NothingSent`] only if the count of sent bytes didn't change; otherwise
-    /// [`SendError::Broken`].
+    /// [`SendError::Broken`] or [`SendError::Malformed`].
     pub async fn send(
         &mut self,
         request: Request<CallBody>,
     ) -> Result<Response<Incoming>, SendError> {
         let sent_before = self.sent_bytes.total();
         let result = self.sender.send_request(request).await;
-        result.map_err(|error| {
+        let response = result.map_err(|error| {
             if self.sent_bytes.total() == sent_before {
                 SendError::NothingSent
             } else {
                 SendError::Broken(error)
             }
-        })
+        })?;
+        check_response_head(&response).map_err(SendError::Malformed)?;
+        Ok(response)
     }
 
     /// Marks the connection as idle since `now`; the peer keeps it open for `idle_time_max` if it
--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod limits;
 mod link;
+mod malformed_heads;
 mod organisation_keys;
 mod organisations;
 mod path;
