Reject responses whose status is not a final one

Callers got a status 101 though they had asked for no upgrade, and lost their connection after it; statuses from 600 to 999 reached them as they came. Both are outside of what RFC 9110, section 15, allows for a final response.

Cause: the HTTP library passes on 101 as an upgrade that the client may take, and takes any number from 100 to 999 for a status.

Ruled out: statuses below 100, of two or four digits, or with a letter, and wrong versions; they ended in 502 before, and the test keeps them.

Change: `check_response_head` accepts statuses from 200 to 599 only. It runs where all heads come in, so health checks, peers and relays are covered.

Evidence: without the change an_invalid_status_is_rejected failed at 101 (the connection of the caller was closed); with it all 13 status lines end in 502 without a signature, the order has run once, and the next response on the connection is whole.

--- a/crates/yuccarack_platform/src/response_head.rs
+++ b/crates/yuccarack_platform/src/response_head.rs
@@ -1,11 +1,21 @@
-//! Checks the framing of HTTP responses (RFC 9112, section 6.3) beyond what the HTTP library does.
+//! Checks the heads of HTTP responses (RFC 9110, section 15, and RFC 9112, section 6.3) beyond what the
+//! HTTP library does.
+
+use std::ops::RangeInclusive;
 
 use http::{HeaderMap, Response, StatusCode, Version, header};
 use thiserror::Error;
 
+/// Status codes of final responses.
+const FINAL_STATUS: RangeInclusive<u16> = 200..=599;
+
 /// Why a response head is malformed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum ResponseHeadError {
+    /// The status is not that of a final response. No request asks for a protocol upgrade, so 101 is
+    /// none either.
+    #[error("the status of the response is not a final one")]
+    Status,
     /// The transfer coding is not `chunked` alone, which is the only one that requests accept.
     #[error("the transfer coding of the response is not chunked")]
     TransferCoding,
@@ -23,7 +33,7 @@
     UnexpectedContent,
 }
 
-/// Checks that the head of `response` declares the length of its body correctly.
+/// Checks that `response` is final and that its head declares the length of its body correctly.
 ///
 /// The HTTP library reads a body with an unknown transfer coding to the end of the connection, and
 /// ignores a content length beside chunks. Its content would be forwarded with the framing in it, or
@@ -33,6 +43,9 @@
 ///
 /// [`ResponseHeadError`]; the body must not be used.
 pub fn check_response_head<B>(response: &Response<B>) -> Result<(), ResponseHeadError> {
+    if !FINAL_STATUS.contains(&response.status().as_u16()) {
+        return Err(ResponseHeadError::Status);
+    }
     let headers = response.headers();
     let content_length = content_length(headers)?;
     let excludes_content = response.status() == StatusCode::NO_CONTENT;
--- a/crates/yuccarack_platform/tests/response_head.rs
+++ b/crates/yuccarack_platform/tests/response_head.rs
@@ -27,6 +27,15 @@
     assert_eq!(check(304, &[("Content-Length", "17")]), Ok(()));
 }
 
+/// Guards against a response that is taken for final with an interim or invalid status.
+#[test]
+fn a_status_that_is_not_final_is_rejected() {
+    for status in [100, 101, 103, 199, 600, 999] {
+        let result = check(status, &[("Content-Length", "0")]);
+        assert_eq!(result, Err(ResponseHeadError::Status), "{status}");
+    }
+}
+
 /// Guards against framing that the HTTP library interprets leniently.
 #[test]
 fn malformed_framing_is_rejected() {
--- a/crates/yuccarackd/tests/routed/malformed_heads.rs
+++ b/crates/yuccarackd/tests/routed/malformed_heads.rs
@@ -59,7 +59,7 @@
         assert!(!head.contains("transfer-encoding"), "{head}");
         let lengths = head.lines().filter_map(|line| line.strip_prefix("content-length:"));
         let length = match (lengths.collect::<Vec<_>>().as_slice(), status) {
-            ([], 204 | 304) => 0,
+            ([], 101 | 204 | 304) => 0,
             ([length], _) => length.trim().parse().expect("a length"),
             _ => panic!("not one length: {head}"),
         };
@@ -166,6 +166,31 @@
     assert_rejected("two-lengths", &responses).await;
 }
 
+/// Guards against a status that is forwarded though it isn't the final status of a response.
+#[tokio::test]
+async fn an_invalid_status_is_rejected() {
+    let lines: [&[u8]; 13] = [
+        b"HTTP/1.1 000 OK",
+        b"HTTP/1.1 042 OK",
+        b"HTTP/1.1 099 OK",
+        b"HTTP/1.1 101 Switching Protocols",
+        b"HTTP/1.1 600 OK",
+        b"HTTP/1.1 999 OK",
+        b"HTTP/1.1 20 OK",
+        b"HTTP/1.1 2000 OK",
+        b"HTTP/1.1 2x0 OK",
+        b"HTTP/1.1 -20 OK",
+        b"HTTP/1.1  OK",
+        b"HTTP/2.0 200 OK",
+        b"HTPT/1.1 200 OK",
+    ];
+    let names = lines.map(|line| String::from_utf8_lossy(line).replace(['/', '.'], "-"));
+    let raw = |line| RawResponse::new(b"Content-Length: 1\r\n").with_status_line(line);
+    let responses: Vec<_> =
+        names.iter().zip(lines).map(|(name, line)| (name.as_str(), raw(line))).collect();
+    assert_rejected("status", &responses).await;
+}
+
 /// Guards against a body whose length the target didn't declare.
 #[tokio::test]
 async fn a_malformed_content_length_is_rejected() {
