Reject responses whose length field has a misspelt name

Callers saw a status 200 with the signature of the target and chunk sizes in the body: `Transfer-Encodin: chunked` counts as a field that nobody knows, so the body is taken for one that ends with the connection. The unknown field went with it.

Cause: a response without a declared length is valid (RFC 9112, section 6.3, item 8), and targets of the platform send such responses, so neither the HTTP library nor the gate can refuse all of them.

Ruled out: to require `Connection: close` of a response without a length. Sound targets may leave it out (a_response_without_a_length_is_complete_at_an_orderly_close), and a broken one may send it.

Change: a response without a declared length is malformed if the name of a field is within two edits of `Transfer-Encoding` or `Content-Length`, or if the value of any field is `chunked`. The distance comes from the crate strsim.

--- a/crates/yuccarack_platform/src/response_head.rs
+++ b/crates/yuccarack_platform/src/response_head.rs
@@ -3,12 +3,19 @@
 
 use std::ops::RangeInclusive;
 
-use http::{HeaderMap, Response, StatusCode, Version, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, Version, header};
+use strsim::osa_distance;
 use thiserror::Error;
 
 /// Status codes of final responses.
 const FINAL_STATUS: RangeInclusive<u16> = 200..=599;
 
+/// The only transfer coding that requests accept.
+const CHUNKED: &[u8] = b"chunked";
+
+/// Most letters that are lost, added, replaced or swapped in a misspelt name.
+const MISSPELT_DISTANCE_MAX: usize = 2;
+
 /// Why a response head is malformed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum ResponseHeadError {
@@ -16,7 +23,7 @@
     /// none either.
     #[error("the status of the response is not a final one")]
     Status,
-    /// The transfer coding is not `chunked` alone, which is the only one that requests accept.
+    /// The transfer coding is not `chunked` alone.
     #[error("the transfer coding of the response is not chunked")]
     TransferCoding,
     /// `Transfer-Encoding` is not allowed in HTTP/1.0 and with status 204.
@@ -28,6 +35,9 @@
     /// There are several values of `Content-Length`, or one that is no number.
     #[error("the content length of the response is not a single number")]
     ContentLength,
+    /// The name of the field that declares the length is misspelt.
+    #[error("the field that declares the length of the response is misspelt")]
+    MisspeltLength,
     /// A response with status 204 declares content.
     #[error("the response declares content, but its status excludes content")]
     UnexpectedContent,
@@ -60,13 +70,29 @@
     }
     match content_length {
         Some(1..) if excludes_content => Err(ResponseHeadError::UnexpectedContent),
+        // The body ends with the connection.
+        None if headers.iter().any(|(name, value)| is_misspelt_length(name, value)) => {
+            Err(ResponseHeadError::MisspeltLength)
+        }
         _ => Ok(()),
     }
 }
 
+/// Returns whether the field resembles one that declares the length of a body.
+fn is_misspelt_length(name: &HeaderName, value: &HeaderValue) -> bool {
+    let resembles = |known: &HeaderName| {
+        let (name, known) = (name.as_str(), known.as_str());
+        name.len().abs_diff(known.len()) <= MISSPELT_DISTANCE_MAX
+            && osa_distance(name, known) <= MISSPELT_DISTANCE_MAX
+    };
+    resembles(&header::TRANSFER_ENCODING)
+        || resembles(&header::CONTENT_LENGTH)
+        || value.as_bytes().eq_ignore_ascii_case(CHUNKED)
+}
+
 fn check_transfer_coding(headers: &HeaderMap) -> Result<(), ResponseHeadError> {
     match single_value(headers, &header::TRANSFER_ENCODING) {
-        Some(value) if value.eq_ignore_ascii_case("chunked") => Ok(()),
+        Some(value) if value.as_bytes().eq_ignore_ascii_case(CHUNKED) => Ok(()),
         _ => Err(ResponseHeadError::TransferCoding),
     }
 }
@@ -83,7 +109,7 @@
 }
 
 /// Returns the value of `name`; `None` if there are several header lines or it isn't visible ASCII.
-fn single_value<'a>(headers: &'a HeaderMap, name: &header::HeaderName) -> Option<&'a str> {
+fn single_value<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     let mut values = headers.get_all(name).iter();
     match (values.next(), values.next()) {
         (Some(value), None) => value.to_str().ok(),
--- a/crates/yuccarack_platform/tests/response_head.rs
+++ b/crates/yuccarack_platform/tests/response_head.rs
@@ -62,3 +62,29 @@
     let result = check_response_head(&old.expect("a response"));
     assert_eq!(result, Err(ResponseHeadError::UnexpectedTransferCoding));
 }
+
+/// Guards against a body that is taken for one without a declared length.
+#[test]
+fn a_misspelt_length_is_rejected() {
+    let misspelt = [
+        ("Transfer-Encodin", "chunked"),
+        ("Tranfser-Encoding", "chunked"),
+        ("Transfer_Encoding", "chunked"),
+        ("Trnsfer-Encodings", "gzip"),
+        ("Framing", "Chunked"),
+        ("Content-Lenght", "17"),
+        ("ContentLength", "17"),
+    ];
+    for header in misspelt {
+        assert_eq!(check(200, &[header]), Err(ResponseHeadError::MisspeltLength), "{header:?}");
+        assert_eq!(check(200, &[header, ("Content-Length", "17")]), Ok(()), "{header:?}");
+    }
+    let others = [
+        ("Content-Type", "text/plain"),
+        ("Content-Encoding", "gzip"),
+        ("Content-Language", "fi"),
+        ("Accept-Encoding", "identity"),
+        ("Connection", "close"),
+    ];
+    assert_eq!(check(200, &others), Ok(()));
+}
--- a/crates/yuccarackd/tests/routed/malformed_heads.rs
+++ b/crates/yuccarackd/tests/routed/malformed_heads.rs
@@ -243,3 +243,18 @@
     ];
     assert_rejected("no-field", &responses).await;
 }
+/// Guards against a length that goes unnoticed, since the name of its field is misspelt.
+#[tokio::test]
+async fn a_misspelt_name_of_a_length_is_rejected() {
+    let chunked = |headers| RawResponse::new(headers).with_chunks();
+    let responses = [
+        ("letter lost", chunked(b"Transfer-Encodin: chunked\r\n")),
+        ("letter lost and close", chunked(b"Transfer-Encodin: chunked\r\nConnection: close\r\n")),
+        ("letter replaced", chunked(b"Transfer-Enkoding: chunked\r\n")),
+        ("letters swapped", chunked(b"Tranfser-Encoding: chunked\r\n")),
+        ("underscore", chunked(b"Transfer_Encoding: chunked\r\n")),
+        ("no hyphen", chunked(b"TransferEncoding: chunked\r\n")),
+        ("content length", RawResponse::new(b"Content-Lenght: 10\r\n")),
+    ];
+    assert_rejected("misspelt", &responses).await;
+}
