Reject responses without one request id and one signature

Callers could get a status 200 without the signature of the target, without the id of their request, or with two of either, of which one was another's.

Cause: the gate compared only the first id, before it removed the headers that `Connection` names, and didn't look at the signature of a success. A head whose `Connection` names the signature or the id lost it in the gate.

Change: the gate removes the headers that apply to one connection first, then requires exactly one id, that of the request, and exactly one signature on a success. Anything else fails the request as broken with an unknown outcome.

Evidence: a_response_that_is_not_identified_is_rejected failed in all 4 cases, for a read and an order each, and passes with the change.

--- a/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
@@ -54,7 +54,7 @@
             return Err(Refusal::not_run(Reason::DeadlinePassed));
         }
         let dispatched_at = Instant::now();
-        let response = match timeout_at(deadline.into(), self.send(request)).await {
+        let mut response = match timeout_at(deadline.into(), self.send(request)).await {
             Ok(response) => response?,
             Err(_) => return Err(Refusal::unknown(Reason::DeadlinePassed)),
         };
@@ -71,6 +71,8 @@
             let retry_after = self.shed_retry_after(response.headers());
             return Err(Refusal::not_run(Reason::Shed).with_retry_after(retry_after));
         }
+        // First, since `Connection` may name a header that the caller depends on.
+        forwarding::strip_hop_by_hop(response.headers_mut());
         check_response(request, &response)?;
         let streamed_until = deadline + STREAMED_LATE_MAX;
         match timeout_at(deadline.into(), self.read_response(response, streamed_until)).await {
@@ -134,7 +136,6 @@
         streamed_until: Instant,
     ) -> Result<Response<CallBody>, Refusal> {
         let (mut parts, body) = response.into_parts();
-        forwarding::strip_hop_by_hop(&mut parts.headers);
         forwarding::strip_internal_headers(&mut parts.headers);
         let broken = |_| Refusal::unknown(Reason::Broken);
         let max_bytes = self.gate.parts.link.buffered_max_bytes(BUFFERED_RESPONSE_MAX_BYTES);
@@ -161,14 +162,18 @@
     }
 }
 
-/// Checks that the response repeats the ID of this request and isn't content-encoded.
+/// Checks that the response repeats the ID of this request, is signed if it is a success, and isn't
+/// content-encoded. The headers must be those that are forwarded.
 ///
 /// A target that sends a second response to an earlier request would otherwise have it taken for
 /// the response to the next request on the connection, and a caller would get another caller's
 /// page.
 fn check_response(request: &GateRequest, response: &Response<CallBody>) -> Result<(), Refusal> {
-    let is_own = response.headers().get(headers::REQUEST_ID) == request.request_id();
-    if is_own && !is_encoded(response) {
+    let ids: Vec<_> = response.headers().get_all(headers::REQUEST_ID).iter().collect();
+    let is_own = ids == request.request_id().into_iter().collect::<Vec<_>>();
+    let signatures = response.headers().get_all(headers::SIGNATURE).iter().count();
+    let is_signed = signatures == 1 || (signatures == 0 && !response.status().is_success());
+    if is_own && is_signed && !is_encoded(response) {
         return Ok(());
     }
     Err(Refusal::unknown(Reason::Broken))
--- a/crates/yuccarackd/tests/routed/malformed_heads.rs
+++ b/crates/yuccarackd/tests/routed/malformed_heads.rs
@@ -258,3 +258,28 @@
     ];
     assert_rejected("misspelt", &responses).await;
 }
+
+/// Guards against a success without the signature of its target, or that may be for another request.
+#[tokio::test]
+async fn a_response_that_is_not_identified_is_rejected() {
+    let chunked = |headers| RawResponse::new(headers).with_chunks();
+    let responses = [
+        (
+            "signature for one connection",
+            chunked(b"Transfer-Encoding: chunked\r\nConnection: Yuccarack-Server-Stamp\r\n"),
+        ),
+        (
+            "request id for one connection",
+            chunked(b"Transfer-Encoding: chunked\r\nConnection: close, yuccarack-request-id\r\n"),
+        ),
+        (
+            "second signature",
+            chunked(b"Transfer-Encoding: chunked\r\nYuccarack-Server-Stamp: another\r\n"),
+        ),
+        (
+            "second request id",
+            chunked(b"Transfer-Encoding: chunked\r\nYuccarack-Request-Id: another\r\n"),
+        ),
+    ];
+    assert_rejected("identity", &responses).await;
+}
