Check the heads of all responses, not only those of targets

What a reader got before: rows of the store, the status of a daemon and the load of a target from responses whose transfer coding was gzip, that declared two lengths, or whose status was 600. Rows that the store didn't send could change the routing table of all. A connection to the store with such a response was used again, with what followed taken for the next response.

Cause: the client of the store, the operators' tool and the load probe have connections of their own, beside the one that targets, gates, peers, relays and health checks share, and took what the HTTP library accepts.

Change: all three call `check_response_head`. The client of the store reports `PlatformError::MalformedHead`, after which a write may have taken effect, and removes the connection from its pool; the tool reports `MalformedResponse`; the probe reports no load.

--- a/crates/yuccarack_platform/src/accept.rs
+++ b/crates/yuccarack_platform/src/accept.rs
@@ -141,6 +141,7 @@
         | PlatformError::UnknownOutcome
         | PlatformError::Stalled { .. }
         | PlatformError::TooLong
+        | PlatformError::MalformedHead(_)
         | PlatformError::Malformed(_) => false,
     }
 }
--- a/crates/yuccarack_platform/src/client.rs
+++ b/crates/yuccarack_platform/src/client.rs
@@ -7,7 +7,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::{
+        Client,
+        connect::{HttpConnector, capture_connection},
+    },
     rt::{TokioExecutor, TokioTimer},
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -18,6 +21,7 @@
     escape::percent_encode,
     feed::FeedRequest,
     messages::{Commit, CommitResponse, ConflictResponse, Row, Rows},
+    response_head::check_response_head,
     transfer::{BODY_MAX_BYTES, TransferError, read_full},
 };
 
@@ -145,8 +149,8 @@
     ///
     /// # Errors
     ///
-    /// [`PlatformError::Unreachable`], [`PlatformError::UnknownOutcome`] and
-    /// [`PlatformError::Stalled`].
+    /// [`PlatformError::Unreachable`], [`PlatformError::UnknownOutcome`],
+    /// [`PlatformError::MalformedHead`], [`PlatformError::Stalled`] and [`PlatformError::TooLong`].
     pub async fn send_feed_request(
         &self,
         feed_request: FeedRequest,
@@ -225,13 +229,22 @@
 
     async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, PlatformError> {
-        match self.client.request(request).await {
-            Ok(response) => Ok(response),
-            Err(error) if error.is_connect() => Err(PlatformError::Unreachable),
-            Err(_) => Err(PlatformError::UnknownOutcome),
+        let connection = capture_connection(&mut request);
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => return Err(PlatformError::Unreachable),
+            Err(_) => return Err(PlatformError::UnknownOutcome),
+        };
+        if let Err(error) = check_response_head(&response) {
+            // Where the next response on the connection begins is not known.
+            if let Some(connection) = connection.connection_metadata().as_ref() {
+                connection.poison();
+            }
+            return Err(PlatformError::MalformedHead(error));
         }
+        Ok(response)
     }
 
     async fn exchange(
--- a/crates/yuccarack_platform/src/errors.rs
+++ b/crates/yuccarack_platform/src/errors.rs
@@ -2,7 +2,7 @@
 
 use thiserror::Error;
 
-use crate::messages::FailedCondition;
+use crate::{messages::FailedCondition, response_head::ResponseHeadError};
 
 /// Error of a request to the platform.
 #[derive(Debug, Error)]
@@ -34,6 +34,9 @@
     /// The response exceeds the longest body that is read; a write may have taken effect.
     #[error("the response of the platform is too long")]
     TooLong,
+    /// The head of the response is malformed; a write may have taken effect.
+    #[error("malformed response head from the platform")]
+    MalformedHead(#[source] ResponseHeadError),
     /// The response does not have the expected form; a write may have taken effect.
     #[error("malformed response from the platform")]
     Malformed(#[source] serde_json::Error),
@@ -50,9 +53,11 @@
             | Self::Refused { .. }
             | Self::Unreachable
             | Self::Unserializable(_) => true,
-            Self::UnknownOutcome | Self::Stalled { .. } | Self::TooLong | Self::Malformed(_) => {
-                false
-            }
+            Self::UnknownOutcome
+            | Self::Stalled { .. }
+            | Self::TooLong
+            | Self::MalformedHead(_)
+            | Self::Malformed(_) => false,
         }
     }
 }
--- a/crates/yuccarack_standins/src/lib.rs
+++ b/crates/yuccarack_standins/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod platform;
 pub mod process;
 pub mod proxy;
+pub mod raw_server;
 pub mod server;
 pub mod target;
--- a/crates/yuccarackctl/src/admin_client.rs
+++ b/crates/yuccarackctl/src/admin_client.rs
@@ -11,6 +11,7 @@
 };
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
+use yuccarack_platform::response_head::check_response_head;
 
 use crate::errors::CtlError;
 
@@ -35,8 +36,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the daemon is unreachable, refuses the request or sends a body that is
-    /// not a `T`.
+    /// Returns an error if the daemon is unreachable, refuses the request or sends a malformed
+    /// response or a body that is not a `T`.
     pub async fn get<T: DeserializeOwned>(
         &self,
         address: SocketAddr,
@@ -56,7 +57,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the daemon is unreachable or refuses the request.
+    /// Returns an error if the daemon is unreachable, refuses the request or sends a malformed
+    /// response.
     pub async fn post(&self, address: SocketAddr, path: &str) -> Result<(), CtlError> {
         let (status, body) = self.send_request(Method::POST, address, path).await?;
         match status.is_success() {
@@ -79,6 +81,8 @@
                 .body(Full::new(Bytes::new()))
                 .map_err(|_| unreachable())?;
             let response = self.client.request(request).await.map_err(|_| unreachable())?;
+            check_response_head(&response)
+                .map_err(|source| CtlError::MalformedResponse { address, source })?;
             let status = response.status();
             let body = response.into_body().collect().await.map_err(|_| unreachable())?;
             Ok((status, body.to_bytes()))
--- a/crates/yuccarackctl/src/errors.rs
+++ b/crates/yuccarackctl/src/errors.rs
@@ -8,7 +8,7 @@
     errors::FileError,
     ids::{InstanceId, Revision},
 };
-use yuccarack_platform::{PlatformError, accept::AcceptError};
+use yuccarack_platform::{PlatformError, accept::AcceptError, response_head::ResponseHeadError};
 
 use crate::logs::{ChartError, LogError};
 
@@ -116,6 +116,14 @@
         /// Start of the response body.
         body: String,
     },
+    /// A daemon sent a response with a malformed head.
+    #[error("malformed response from daemon {address}: {source}")]
+    MalformedResponse {
+        /// Admin address of the daemon.
+        address: SocketAddr,
+        /// What is malformed.
+        source: ResponseHeadError,
+    },
     /// The address responds, but not to a request that every daemon supports.
     #[error(
         "{address} is not the admin address of a daemon, or the daemon has an incompatible version"
@@ -162,6 +170,7 @@
             | Self::Chart(_)
             | Self::NotFound { .. }
             | Self::DaemonRefused { .. }
+            | Self::MalformedResponse { .. }
             | Self::NotADaemon { .. }
             | Self::NotInForce { .. } => ExitStatus::Failed,
         }
@@ -220,6 +229,7 @@
         PlatformError::Refused { status } if *status >= 500 => ExitStatus::PlatformUnavailable,
         PlatformError::Conflict { .. } => ExitStatus::Conflict,
         PlatformError::Refused { .. }
+        | PlatformError::MalformedHead(_)
         | PlatformError::Malformed(_)
         | PlatformError::Unserializable(_) => ExitStatus::Failed,
     }
--- a/crates/yuccarackd/src/coordination/table.rs
+++ b/crates/yuccarackd/src/coordination/table.rs
@@ -177,7 +177,7 @@
         PlatformError::UnknownOutcome | PlatformError::Stalled { .. } | PlatformError::TooLong => {
             "no_answer"
         }
-        PlatformError::Malformed(_) => "malformed",
+        PlatformError::MalformedHead(_) | PlatformError::Malformed(_) => "malformed",
         PlatformError::Unserializable(_) => "unwritable",
     }
 }
--- a/crates/yuccarackd/src/transport/load_probe.rs
+++ b/crates/yuccarackd/src/transport/load_probe.rs
@@ -23,6 +23,7 @@
     net::{TcpSocket, TcpStream},
     time::timeout_at,
 };
+use yuccarack_platform::response_head::{ResponseHeadError, check_response_head};
 
 /// Receive buffer of a probe's socket, in bytes. It is small because the target spends CPU time and
 /// bandwidth on each byte of an oversized response that fits into it, even if it is never read.
@@ -71,6 +72,8 @@
     Connection(#[from] io::Error),
     #[error("HTTP exchange with the load endpoint failed")]
     Http(#[from] hyper::Error),
+    #[error(transparent)]
+    Head(#[from] ResponseHeadError),
     #[error("path of the load endpoint is not valid in a request")]
     Path(#[from] http::Error),
     #[error("response of the load endpoint is not valid JSON of the load")]
@@ -92,6 +95,7 @@
         .body(Empty::<Bytes>::new())?;
     let response = async move {
         let response = sender.send_request(request).await?;
+        check_response_head(&response)?;
         let body = response.into_body().collect().await?;
         Ok(serde_json::from_slice(&body.to_bytes())?)
     };
