Limit what a target sends before the head of its response

Callers got no response until a second after their deadline, also those of other targets, while one target sent interim responses (100 Continue) without an end. The daemon beside it used a whole core to read them.

Cause: the HTTP library limits a single head; each interim response is complete and leaves its buffer empty again. Only the deadline of the request ended the reading.

Ruled out: the memory. It stayed within 128 MiB with such bytes in a head, in interim responses, in a body and as garbage (`routed::endless`).

Change: `CountedStream` fails a read once 64 KiB have arrived since the request was sent and its head is not complete. The request fails as broken with an unknown outcome, the connection closes and `target_response_rejected` names the target. The bytes count on the socket, so that the limit holds for gates, peers, relays and health checks too. The limit of a single head falls from 400 KiB to some 64 KiB.

--- a/crates/yuccarackd/src/transport/connection.rs
+++ b/crates/yuccarackd/src/transport/connection.rs
@@ -19,7 +19,7 @@
 use tokio_util::task::TaskTracker;
 use yuccarack_platform::response_head::{ResponseHeadError, check_response_head};
 
-use super::counted_stream::{CountedStream, SentBytes};
+use super::counted_stream::{CountedStream, HeadLimit, SentBytes};
 use crate::protocol::body::CallBody;
 
 /// Longest time for a TCP connect; a peer that takes longer counts as unreachable.
@@ -85,10 +85,12 @@
         matches!(self, Self::Unreachable { .. } | Self::NothingSent)
     }
 
-    /// Returns why the head of the response is malformed, if that is the error.
+    /// Returns why the head of the response is malformed or too long, if that is the error.
     pub fn malformed_head(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
-            Self::Broken(source) if source.is_parse() => Some(source),
+            Self::Broken(source) if source.is_parse() || HeadLimit::is_exceeded(source) => {
+                Some(source)
+            }
             Self::Malformed(source) => Some(source),
             Self::Unreachable { .. } | Self::NothingSent | Self::Broken(_) => None,
         }
@@ -105,6 +107,7 @@
 pub struct Connection {
     sender: SendRequest<CallBody>,
     sent_bytes: SentBytes,
+    head_limit: HeadLimit,
     idle_since: Instant,
     /// When the peer closes the connection if it stays idle; `None` if the peer announced no time.
     idle_deadline: Option<Instant>,
@@ -133,7 +136,7 @@
         let _ = stream.set_nodelay(true);
         set_dead_peer_timeouts(&stream, body_length);
         let stream = CountedStream::new(stream);
-        let sent_bytes = stream.sent_bytes();
+        let (sent_bytes, head_limit) = (stream.sent_bytes(), stream.head_limit());
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::Unreachable { address, is_refused: false })?;
@@ -141,7 +144,8 @@
             // A failure of the driver is reported by the request that it fails.
             let _ = driver.await;
         });
-        Ok(Self { sender, sent_bytes, idle_since: Instant::now(), idle_deadline: None })
+        let idle_since = Instant::now();
+        Ok(Self { sender, sent_bytes, head_limit, idle_since, idle_deadline: None })
     }
 
     /// Returns whether the connection can carry a request now and became idle at `oldest` or later.
@@ -171,7 +175,9 @@
         request: Request<CallBody>,
     ) -> Result<Response<Incoming>, SendError> {
         let sent_before = self.sent_bytes.total();
+        self.head_limit.start();
         let result = self.sender.send_request(request).await;
+        self.head_limit.end();
         let response = result.map_err(|error| {
             if self.sent_bytes.total() == sent_before {
                 SendError::NothingSent
--- a/crates/yuccarackd/tests/routed/endless.rs
+++ b/crates/yuccarackd/tests/routed/endless.rs
@@ -14,12 +14,15 @@
 };
 use yuccarack_platform_standin::{
     caller::{Call, send_call},
-    deployment::{Deployment, wait_until},
+    deployment::{Deployment, RouteSpec, wait_until},
     target::Behaviour,
 };
 
 use crate::support::{ORDERS, READS, board_routes, deployed};
 
+/// Host of the routes to a target without a fault.
+const DESK: &str = "desk.example";
+
 /// Slack of a response's time on a busy machine.
 const SLACK: Duration = Duration::from_millis(500);
 
@@ -102,6 +105,52 @@
     assert!(peak_kib < MEMORY_MAX_KIB, "{peak_kib} KiB");
 }
 
+/// Guards against interim responses without an end: the daemon would read them until the deadline, and
+/// calls to other targets would wait meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn interim_responses_without_end_fail_the_call_at_once() {
+    let mut deployment = deployed("endless-interim", &["board", "desk"]).await;
+    let mut routes = board_routes();
+    routes.push(RouteSpec::reads(DESK, "/d/", "desk"));
+    deployment.apply(&routes).await;
+    let instance = &deployment.instances[0];
+    instance.target.set_behaviour(Behaviour::EndlessInterim);
+    let address = instance.call_address();
+    let flooded = (0..6).map(|number| async move {
+        let mut slowest = Duration::ZERO;
+        for step in 0..10 {
+            let id = format!("flooded-{number}-{step}");
+            let call = match step % 2 {
+                0 => Call::read(READS, "/r/1", &id),
+                _ => Call::order(ORDERS, "/o/1", &id),
+            };
+            let sent_at = Instant::now();
+            let response = send_call(address, &call).await.expect("a response");
+            assert!(!response.status.is_success(), "{id}");
+            slowest = slowest.max(sent_at.elapsed());
+        }
+        slowest
+    });
+    let others = async {
+        let mut slowest = Duration::ZERO;
+        for step in 0..40 {
+            let sent_at = Instant::now();
+            let call = Call::read(DESK, "/d/1", &format!("other-{step}"));
+            let response = send_call(address, &call).await.expect("a response");
+            assert_eq!(response.status, StatusCode::OK);
+            slowest = slowest.max(sent_at.elapsed());
+        }
+        slowest
+    };
+    let (flooded, others) = tokio::join!(futures_util::future::join_all(flooded), others);
+    let flooded = flooded.into_iter().max().expect("a call");
+    assert!(flooded < Duration::from_secs(1), "{flooded:?}");
+    assert!(others < SLACK, "{others:?}");
+    assert!(log_contains(&deployment, 0, "\"target_response_rejected\""));
+    let peak_kib = peak_memory_kib(&deployment, 0);
+    assert!(peak_kib < MEMORY_MAX_KIB, "{peak_kib} KiB");
+}
+
 /// Guards against a target whose response body has no end: it would hold a slot, and a caller that
 /// reads it, for an unlimited time.
 #[tokio::test]
