Keep rows readable beside one with an odd value

Daemons that are called by service stopped following the members, and operators got no list, as long as one row held a value that is nested more than 128 levels or has a number such as 1e999: the whole response was malformed, so no row of it counted.

Cause: the client of the table service parsed the values of all rows together with the response, into `serde_json::Value`, which has limits that JSON doesn't have.

Ruled out for routed daemons: the values of their rows are base64 and are parsed one by one, and relays hand on typed rows only. odd_rows::odd_rows_cost_no_other_row keeps that: 17 odd values in all tables, before and behind the members' rows, in polls, through relays, at a start and as heartbeats, and all members are known, all targets serve and a new route is in force afterwards. It held on the code as it was.

Change: a value that can't be held becomes null in its row, and the decoder of that row rejects it as before. Nothing else of the response is lost.

Evidence: an_odd_row_hides_no_other_row failed with "recursion limit exceeded" and passes with the change.

--- a/crates/yuccarack_platform/src/messages.rs
+++ b/crates/yuccarack_platform/src/messages.rs
@@ -1,6 +1,7 @@
 //! JSON requests to the table service and their responses.
 
-use serde_json::Value;
+use serde::{Deserialize, Deserializer};
+use serde_json::{Value, value::RawValue};
 use yuccarack_config::{ids::Revision, wire_data};
 
 wire_data! {
@@ -66,7 +67,8 @@
         pub key: String,
         /// Revision at which the row was last written.
         pub revision: Revision,
-        /// Value of the row.
+        /// Value of the row; null if it is nested too deeply or has a number out of range.
+        #[serde(deserialize_with = "value_or_null")]
         pub value: Value,
     }
 
@@ -79,6 +81,13 @@
     }
 }
 
+/// Deserializes a value that another writer may have written. One that [`Value`] can't hold would
+/// otherwise fail the whole response, and hide all other rows.
+fn value_or_null<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Value, D::Error> {
+    let raw = Box::<RawValue>::deserialize(deserializer)?;
+    Ok(serde_json::from_str(raw.get()).unwrap_or_default())
+}
+
 impl Write {
     /// Creates a write that sets the row of `key` to `value`.
     pub fn put(key: impl Into<String>, value: Value) -> Self {
--- a/crates/yuccarackd/tests/routed/main.rs
+++ b/crates/yuccarackd/tests/routed/main.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod link;
 mod malformed_heads;
+mod odd_rows;
 mod organisation_keys;
 mod organisations;
 mod path;
