Compare waits of any length without an overflow

A caller's connection was closed without a response after a target had rejected its request with a Retry-After of some 1.8e19 seconds, in deployments with organisations or downloads.

Cause: the entry adds the wait to the time that a returning request needs, and the sum of two durations panics when it overflows. The task of the connection ended with it.

Ruled out: the other numbers in responses of targets. Load, slowdown, cold time, rate limit and Keep-Alive are clamped or added with a check.

Change: both sums with such a wait saturate.

Evidence: a_caller_does_not_return_after_the_longest_wait failed with "overflow when adding durations" and passes.

--- a/crates/yuccarack_policy/src/shed_returns.rs
+++ b/crates/yuccarack_policy/src/shed_returns.rs
@@ -33,7 +33,7 @@
 /// Returns whether the caller of a shed request can return in time: it is asked to wait for
 /// `retry_after`, and `time_left` remains until its soft deadline.
 pub fn can_return(time_left: Duration, retry_after: Duration) -> bool {
-    time_left >= RETURN_TIME + retry_after
+    time_left >= RETURN_TIME.saturating_add(retry_after)
 }
 
 /// Share of the requests to one target that it shed.
--- a/crates/yuccarack_policy/tests/shed_returns.rs
+++ b/crates/yuccarack_policy/tests/shed_returns.rs
@@ -83,3 +83,9 @@
     assert!(!can_return(ms(250), SHED_AT_RANDOM_RETRY_AFTER));
     assert!(!can_return(ms(390), FULL_TARGET_RETRY_AFTER));
 }
+
+/// Guards against a target that asks for a wait too long to be added to anything.
+#[test]
+fn a_caller_does_not_return_after_the_longest_wait() {
+    assert!(!can_return(SOFT_DEADLINE, Duration::MAX));
+}
--- a/crates/yuccarackd/src/protocol/refusal.rs
+++ b/crates/yuccarackd/src/protocol/refusal.rs
@@ -291,6 +291,6 @@
 /// Rounds up to whole seconds, the unit of `Retry-After`. Rounding down would let callers retry too
 /// early.
 fn whole_seconds(time: Duration) -> u64 {
-    let rounded_up = time.as_secs() + u64::from(time.subsec_nanos() > 0);
+    let rounded_up = time.as_secs().saturating_add(u64::from(time.subsec_nanos() > 0));
     rounded_up.max(1)
 }
