Tests: other calls are served beside heads and bodies without an end

The tests of endless responses measured memory and the calls to the faulty target, not what other callers of the same daemon get. The test of interim responses becomes a_head_without_end_fails_the_call_at_once_and_delays_no_other, with the same checks for heads and bytes that are no response, and a_body_without_end_delays_no_other_call is new. Both pass: 40 calls to another target each within 0.5 s beside six callers of the faulty one, memory below 128 MiB.

--- a/crates/yuccarackd/tests/routed/endless.rs
+++ b/crates/yuccarackd/tests/routed/endless.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::join_all;
 use http::StatusCode;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -23,6 +24,9 @@
 /// Host of the routes to a target without a fault.
 const DESK: &str = "desk.example";
 
+/// Calls to the target without a fault.
+const OTHER_CALLS: usize = 40;
+
 /// Slack of a response's time on a busy machine.
 const SLACK: Duration = Duration::from_millis(500);
 
@@ -88,7 +92,7 @@
                 (response.expect("a response").status, sent_at.elapsed())
             }
         });
-        for (status, took) in futures_util::future::join_all(calls).await {
+        for (status, took) in join_all(calls).await {
             assert!(!status.is_success(), "{behaviour:?}");
             assert!(took < Duration::from_secs(2) + SLACK, "{behaviour:?} took {took:?}");
         }
@@ -105,50 +109,74 @@
     assert!(peak_kib < MEMORY_MAX_KIB, "{peak_kib} KiB");
 }
 
-/// Guards against interim responses without an end: the daemon would read them until the deadline, and
-/// calls to other targets would wait meanwhile.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn interim_responses_without_end_fail_the_call_at_once() {
-    let mut deployment = deployed("endless-interim", &["board", "desk"]).await;
+/// Starts two instances, of which the first one's target serves reads and orders and the second one's
+/// target serves [`DESK`].
+async fn deployed_with_desk(name: &str) -> Deployment {
+    let mut deployment = deployed(name, &["board", "desk"]).await;
     let mut routes = board_routes();
     routes.push(RouteSpec::reads(DESK, "/d/", "desk"));
     deployment.apply(&routes).await;
-    let instance = &deployment.instances[0];
-    instance.target.set_behaviour(Behaviour::EndlessInterim);
-    let address = instance.call_address();
-    let flooded = (0..6).map(|number| async move {
-        let mut slowest = Duration::ZERO;
-        for step in 0..10 {
-            let id = format!("flooded-{number}-{step}");
-            let call = match step % 2 {
-                0 => Call::read(READS, "/r/1", &id),
-                _ => Call::order(ORDERS, "/o/1", &id),
-            };
-            let sent_at = Instant::now();
-            let response = send_call(address, &call).await.expect("a response");
-            assert!(!response.status.is_success(), "{id}");
-            slowest = slowest.max(sent_at.elapsed());
-        }
-        slowest
-    });
+    deployment
+}
+
+/// Sends calls to the target without a fault while `flood` runs; all must be served in time.
+async fn assert_others_served<T>(deployment: &Deployment, flood: impl Future<Output = T>) -> T {
+    let address = deployment.instances[0].call_address();
     let others = async {
-        let mut slowest = Duration::ZERO;
-        for step in 0..40 {
+        for step in 0..OTHER_CALLS {
             let sent_at = Instant::now();
             let call = Call::read(DESK, "/d/1", &format!("other-{step}"));
             let response = send_call(address, &call).await.expect("a response");
             assert_eq!(response.status, StatusCode::OK);
-            slowest = slowest.max(sent_at.elapsed());
+            assert!(sent_at.elapsed() < SLACK, "{:?}", sent_at.elapsed());
         }
-        slowest
     };
-    let (flooded, others) = tokio::join!(futures_util::future::join_all(flooded), others);
-    let flooded = flooded.into_iter().max().expect("a call");
-    assert!(flooded < Duration::from_secs(1), "{flooded:?}");
-    assert!(others < SLACK, "{others:?}");
-    assert!(log_contains(&deployment, 0, "\"target_response_rejected\""));
-    let peak_kib = peak_memory_kib(&deployment, 0);
+    let (result, ()) = tokio::join!(flood, others);
+    let peak_kib = peak_memory_kib(deployment, 0);
     assert!(peak_kib < MEMORY_MAX_KIB, "{peak_kib} KiB");
+    result
+}
+
+/// Guards against heads and interim responses without an end: the daemon would read them until the
+/// deadline, and calls to other targets would wait meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_without_end_fails_the_call_at_once_and_delays_no_other() {
+    let deployment = deployed_with_desk("endless-others").await;
+    let instance = &deployment.instances[0];
+    for behaviour in [Behaviour::EndlessInterim, Behaviour::EndlessHead, Behaviour::EndlessGarbage]
+    {
+        instance.target.set_behaviour(behaviour);
+        let flood = (0..6).map(|number| async move {
+            for step in 0..10 {
+                let id = format!("{behaviour:?}-{number}-{step}");
+                let call = match step % 2 {
+                    0 => Call::read(READS, "/r/1", &id),
+                    _ => Call::order(ORDERS, "/o/1", &id),
+                };
+                let sent_at = Instant::now();
+                let response = send_call(instance.call_address(), &call).await;
+                assert!(!response.expect("a response").status.is_success(), "{id}");
+                assert!(sent_at.elapsed() < Duration::from_secs(1), "{:?}", sent_at.elapsed());
+            }
+        });
+        assert_others_served(&deployment, join_all(flood)).await;
+    }
+    assert!(log_contains(&deployment, 0, "\"target_response_rejected\""));
+}
+
+/// Guards against bodies without an end that delay calls to other targets.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_without_end_delays_no_other_call() {
+    let deployment = deployed_with_desk("endless-bodies").await;
+    let instance = &deployment.instances[0];
+    instance.target.set_behaviour(Behaviour::EndlessBody);
+    let address = instance.call_address();
+    let ids: Vec<_> = (0..6).map(|number| format!("endless-{number}")).collect();
+    let flood = ids.iter().map(|id| read_until_cut(address, id, 1_000));
+    for (first, _, took) in assert_others_served(&deployment, join_all(flood)).await {
+        assert!(first.starts_with(b"HTTP/1.1 200"));
+        assert!(took < Duration::from_secs(1) + CUT_OFF_MAX, "{took:?}");
+    }
 }
 
 /// Guards against a target whose response body has no end: it would hold a slot, and a caller that
