--- a/crates/yuccarack_platform/src/lib.rs
+++ b/crates/yuccarack_platform/src/lib.rs
@@ -1,4 +1,6 @@
 //! Client of the platform's transactional table service and object store, and the rows kept there.
+//!
+//! [`response_head`] is the check that all HTTP clients of this project share.
 
 pub mod accept;
 pub mod client;
--- a/crates/yuccarack_platform/src/response_head.rs
+++ b/crates/yuccarack_platform/src/response_head.rs
@@ -13,7 +13,7 @@
 /// The only transfer coding that requests accept.
 const CHUNKED: &[u8] = b"chunked";
 
-/// Most letters that are lost, added, replaced or swapped in a misspelt name.
+/// Largest edit distance between a misspelt name and the right one.
 const MISSPELT_DISTANCE_MAX: usize = 2;
 
 /// Why a response head is malformed.
--- a/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
+++ b/crates/yuccarackd/src/coordination/routed/gate/exchange.rs
@@ -169,10 +169,12 @@
 /// the response to the next request on the connection, and a caller would get another caller's
 /// page.
 fn check_response(request: &GateRequest, response: &Response<CallBody>) -> Result<(), Refusal> {
-    let ids: Vec<_> = response.headers().get_all(headers::REQUEST_ID).iter().collect();
-    let is_own = ids == request.request_id().into_iter().collect::<Vec<_>>();
-    let signatures = response.headers().get_all(headers::SIGNATURE).iter().count();
-    let is_signed = signatures == 1 || (signatures == 0 && !response.status().is_success());
+    let map = response.headers();
+    let is_own = map.get_all(headers::REQUEST_ID).iter().eq(request.request_id());
+    let is_signed = match map.get_all(headers::SIGNATURE).iter().count() {
+        0 => !response.status().is_success(),
+        count => count == 1,
+    };
     if is_own && is_signed && !is_encoded(response) {
         return Ok(());
     }
